Add a telemetry package: bounded log queue and a metrics registry

Cause: the platform's operators have only standard output and a metrics page. A log call wrote to the stream itself, so a reader that stalls stalls a decision, and metrics went to a statsd listener that the platform does not have. Change: the log module moves out of the node package; lines go through a bounded queue to a writer thread, which reports how many were dropped. A cadence sink keeps counters, gauges and latency histograms in the process and gives them as text.

--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -38,3 +38,15 @@
 pub type Tokens = u64;
 /// Position of a chunk in an answer, from 0.
 pub type ChunkIndex = u64;
+/// Id that a caller gives to one try of a request.
+pub type RequestId = String;
+/// Key that names a client account.
+pub type ApiKey = String;
+/// Name of a client account.
+pub type AccountId = String;
+/// Name of a route.
+pub type RouteId = String;
+/// Name of a model.
+pub type ModelId = String;
+/// Position of an event in a stream, as the upstream numbers it.
+pub type EventPosition = u64;
--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -25,6 +25,8 @@
     Calls,
     /// Requests that ended upstreams.
     Quarantine,
+    /// Repeated sends of the last seconds.
+    Repeats,
     /// Counters of the burn report.
     Burn,
     /// The state of the node itself: ready, draining.
@@ -33,6 +35,8 @@
     Connections,
     /// Jobs of the worker pool.
     Jobs,
+    /// Counters and histograms of the process.
+    Metrics,
 }
 
 thread_local! {
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -8,6 +8,7 @@
     turmerictack_platform::error::StoreError,
     turmerictack_protocol::error::LinkError,
     turmerictack_settings::error::SettingsError,
+    turmerictack_telemetry::logs::LogError,
     turmerictack_upstream::error::UpstreamError,
 };
 
@@ -41,8 +42,8 @@
         /// Address.
         address: Address,
     },
-    /// the log could not be opened
-    Log(spdlog::Error),
+    /// the log could not be opened: {0}
+    Log(LogError),
     /// cannot send metrics to {address}
     #[from(skip)]
     #[error(ignore)]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod estimate;
 pub mod front;
 pub mod keeper;
-pub mod logs;
+pub use turmerictack_telemetry::logs;
 pub mod metrics;
 pub mod node;
 pub mod options;
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,5 @@
+//! Logs and metrics of turmerictack's processes.
+
+pub mod logs;
+pub mod queue;
+pub mod registry;
--- a/crates/node/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,37 +1,62 @@
 //! One line of key=value pairs for each event.
 
 use {
+    crate::queue::LineQueue,
+    derive_more::{Error, From},
+    displaydoc::Display,
     spdlog::{
         Level, LevelFilter, Logger,
         formatter::{PatternFormatter, pattern},
-        sink::{StdStream, StdStreamSink},
+        sink::WriteSink,
+    },
+    std::{
+        fmt::Write as _,
+        io::{self, Write},
+        sync::Arc,
     },
-    std::{fmt::Write as _, sync::Arc},
     turmerictack_settings::node::LogLevel,
 };
 
-/// Opens the log of a daemon on standard error and makes it the default one.
+/// Why the log could not be opened.
+#[derive(Debug, Display, Error, From)]
+pub enum LogError {
+    /// the log library: {0}
+    Library(spdlog::Error),
+    /// the thread that writes the log could not be started
+    Thread(io::Error),
+}
+
+/// An open log; dropping it writes what is queued.
+#[must_use]
+pub struct Log {
+    queue: LineQueue,
+}
+
+impl Drop for Log {
+    fn drop(&mut self) {
+        self.queue.flush_all();
+    }
+}
+
+/// Opens the log of a process on a stream and makes it the default one.
 ///
 /// # Errors
-/// Those of the log library.
-pub fn open(level: LogLevel) -> Result<(), spdlog::Error> {
+/// Any [`LogError`].
+pub fn open(level: LogLevel, stream: Box<dyn Write + Send>) -> Result<Log, LogError> {
     let format = PatternFormatter::new(pattern!(
         "at={year}-{month}-{day}T{hour}:{minute}:{second}.{millisecond} level={level} {payload}{eol}"
     ));
-    let sink = StdStreamSink::builder().std_stream(StdStream::Stderr).formatter(format).build()?;
+    let queue = LineQueue::spawn(stream)?;
+    let sink = WriteSink::builder().target(queue.clone()).formatter(format).build()?;
     let filter = LevelFilter::MoreSevereEqual(match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warn => Level::Warn,
         LogLevel::Info => Level::Info,
         LogLevel::Debug => Level::Debug,
     });
-    let logger = Logger::builder()
-        .sink(Arc::new(sink))
-        .level_filter(filter)
-        .flush_level_filter(LevelFilter::All)
-        .build()?;
+    let logger = Logger::builder().sink(Arc::new(sink)).level_filter(filter).build()?;
     spdlog::set_default_logger(Arc::new(logger));
-    Ok(())
+    Ok(Log { queue })
 }
 
 /// One event, as it is put together.
