Add the serving core that front ends embed

Cause: the node package ties decisions on requests to its rocket front end and its own object protocol, so a second front end could not use them. Change: catalog, directory, load, queue, attempts and repeats decide over ranked tables; the desk carries a request through them; borders are trait objects for upstreams, instances, the plan, the node list and datagrams.

--- /dev/null
+++ b/crates/serving/src/beats.rs
@@ -0,0 +1,156 @@
+//! Exchange of beats between nodes.
+
+use {
+    crate::{
+        borders::{NodeList, PeerChannel},
+        tables::Tables,
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::{MissedTickBehavior, interval, sleep},
+    turmerictack_model::{
+        clock::Clock,
+        ids::{Address, Incarnation, NodeId},
+    },
+    turmerictack_protocol::{
+        beat::{BEAT_VERSION, Beat, BeatStrike},
+        codec::{decode, encode},
+    },
+    turmerictack_routing::quarantine::Strike,
+    turmerictack_telemetry::logs,
+};
+
+/// Time between two beats.
+const BEAT_EVERY: Duration = Duration::from_millis(200);
+
+/// Time between two looks at the platform's list of nodes.
+const LIST_EVERY: Duration = Duration::from_secs(5);
+
+/// Time between two looks while all nodes may have started at the same time.
+const LIST_FIRST: Duration = Duration::from_millis(400);
+
+/// Looks that follow each other quickly after the start.
+const QUICK_LOOKS: u32 = 3;
+
+/// Who this node is to the others.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name.
+    pub node: NodeId,
+    /// Where it takes datagrams.
+    pub address: Address,
+    /// Run of the process.
+    pub incarnation: Incarnation,
+}
+
+/// Sends and takes beats.
+pub struct Beats {
+    tables: Arc<Tables>,
+    channel: Arc<dyn PeerChannel>,
+    nodes: Arc<dyn NodeList>,
+    clock: Arc<dyn Clock>,
+    identity: Identity,
+}
+
+impl Beats {
+    /// Starts the exchange.
+    pub fn spawn(
+        tables: Arc<Tables>,
+        channel: Arc<dyn PeerChannel>,
+        nodes: Arc<dyn NodeList>,
+        clock: Arc<dyn Clock>,
+        identity: Identity,
+    ) {
+        let beats = Arc::new(Self { tables, channel, nodes, clock, identity });
+        tokio::spawn(Arc::clone(&beats).send_all());
+        tokio::spawn(Arc::clone(&beats).receive_all());
+        tokio::spawn(beats.follow_list());
+    }
+
+    async fn send_all(self: Arc<Self>) {
+        let mut ticks = interval(BEAT_EVERY);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let now = self.clock.now();
+            let beat = self.beat(now);
+            let Ok(datagram) = encode(&beat) else { continue };
+            let addresses = self.tables.members.lock().addresses(&self.identity.address);
+            for address in addresses {
+                self.channel.send(&address, &datagram).await;
+            }
+            self.tables.pump_all(self.clock.now());
+        }
+    }
+
+    fn beat(&self, now: Instant) -> Beat {
+        let (loads, silent) = {
+            let placing = self.tables.placing.lock();
+            (placing.loads.own(now), placing.loads.stalled(now))
+        };
+        let strikes = self.tables.quarantine.lock().news();
+        let store_answers = self.tables.store_answers(now);
+        let leaving = self.tables.lifecycle.lock().leaving;
+        Beat {
+            version: BEAT_VERSION,
+            node: self.identity.node.clone(),
+            address: self.identity.address.clone(),
+            incarnation: self.identity.incarnation,
+            store_answers,
+            leaving,
+            loads,
+            silent,
+            strikes: strikes
+                .into_iter()
+                .map(|s| BeatStrike { digest: s.digest, upstream: s.upstream })
+                .collect(),
+        }
+    }
+
+    async fn receive_all(self: Arc<Self>) {
+        loop {
+            let datagram = self.channel.receive().await;
+            match decode::<Beat>(&datagram) {
+                Ok(beat) if beat.version == BEAT_VERSION => self.take(beat),
+                Ok(_) | Err(_) => logs::event("beat_dropped").with("bytes", datagram.len()).debug(),
+            }
+        }
+    }
+
+    fn take(&self, beat: Beat) {
+        if beat.node == self.identity.node {
+            return;
+        }
+        let now = self.clock.now();
+        let eligible = beat.store_answers && !beat.leaving;
+        self.tables.members.lock().heard(
+            now,
+            &beat.node,
+            &beat.address,
+            beat.incarnation,
+            eligible,
+        );
+        {
+            let mut placing = self.tables.placing.lock();
+            placing.loads.heard(now, &beat.node, &beat.loads);
+            placing.loads.heard_silent(now, beat.silent);
+        }
+        let mut quarantine = self.tables.quarantine.lock();
+        for strike in beat.strikes {
+            quarantine.strike(now, Strike { digest: strike.digest, upstream: strike.upstream });
+        }
+    }
+
+    async fn follow_list(self: Arc<Self>) {
+        let mut looks = 0;
+        loop {
+            if let Some(addresses) = self.nodes.peers().await {
+                self.tables.members.lock().set_listed(addresses);
+            }
+            looks += 1;
+            sleep(if looks <= QUICK_LOOKS { LIST_FIRST } else { LIST_EVERY }).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/membership.rs
@@ -0,0 +1,81 @@
+//! Which nodes are alive, and which of them is in charge of the groups.
+
+use {
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    turmerictack_model::{
+        ids::{Address, Incarnation, NodeId},
+        rendezvous::owners,
+    },
+};
+
+/// Time without a beat after which a node counts as gone.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Key under which nodes are ranked for the control of groups.
+const CONTROL_KEY: &str = "groups";
+
+#[derive(Clone, Debug)]
+struct Peer {
+    address: Address,
+    incarnation: Incarnation,
+    heard: Instant,
+    eligible: bool,
+}
+
+/// Nodes, by what they say themselves.
+#[derive(Debug, Default)]
+pub struct Members {
+    peers: BTreeMap<NodeId, Peer>,
+    listed: Vec<Address>,
+}
+
+impl Members {
+    /// Takes a beat; one of an earlier run changes nothing.
+    pub fn heard(
+        &mut self,
+        now: Instant,
+        node: &NodeId,
+        address: &Address,
+        incarnation: Incarnation,
+        eligible: bool,
+    ) {
+        if self.peers.get(node).is_some_and(|p| p.incarnation > incarnation) {
+            return;
+        }
+        let peer = Peer { address: address.clone(), incarnation, heard: now, eligible };
+        self.peers.insert(node.clone(), peer);
+    }
+
+    /// Takes the platform's list of nodes.
+    pub fn set_listed(&mut self, listed: Vec<Address>) {
+        self.listed = listed;
+    }
+
+    /// Addresses to send beats to.
+    pub fn addresses(&self, own: &Address) -> Vec<Address> {
+        let mut all: Vec<Address> = self.listed.clone();
+        all.extend(self.peers.values().map(|p| p.address.clone()));
+        all.sort_unstable();
+        all.dedup();
+        all.retain(|a| a != own);
+        all
+    }
+
+    /// Nodes that are alive, this one included.
+    pub fn live_count(&self, now: Instant) -> usize {
+        1 + self.peers.values().filter(|p| now < p.heard + BEAT_TIMEOUT).count()
+    }
+
+    /// Whether this node is in charge of the groups.
+    pub fn is_in_charge(&self, now: Instant, own: &NodeId, eligible: bool) -> bool {
+        let others = self
+            .peers
+            .iter()
+            .filter(|(id, p)| *id != own && p.eligible && now < p.heard + BEAT_TIMEOUT)
+            .map(|(id, _)| id.as_str());
+        eligible && owners(CONTROL_KEY, others.chain([own.as_str()]), 1) == [own.as_str()]
+    }
+}
--- /dev/null
+++ b/crates/serving/src/queue.rs
@@ -0,0 +1,139 @@
+//! Requests that wait for an upstream: who goes first, and who need not wait at all.
+//!
+//! Answers the load of a flood: requests that can still be on time go before those that are late
+//! anyway, and one whose wait would outlast its bound is refused when it comes.
+
+use {
+    crate::directory::TargetKind,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::{Duration, Instant},
+    },
+};
+
+/// Part of a caller's patience that a request waits at most.
+const MAX_WAIT_SHARE: f64 = 0.25;
+
+/// Window over which the rate of grants is counted.
+const RATE_WINDOW: Duration = Duration::from_secs(2);
+
+/// Requests that wait at most for each kind of upstream.
+const MAX_WAITING: usize = 512;
+
+/// Number of a waiting request, in the order of arrival.
+pub type Ticket = u64;
+
+/// What decides the place of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitTerms {
+    /// Rank; 0 goes first.
+    pub urgency: u8,
+    /// Until when it has to go to be on time.
+    pub on_time_until: Instant,
+    /// When it is refused.
+    pub give_up_at: Instant,
+}
+
+/// Latest time at which a request that comes now is still worth sending.
+pub fn give_up_at(now: Instant, deadline: Instant) -> Instant {
+    now + deadline.saturating_duration_since(now).mul_f64(MAX_WAIT_SHARE)
+}
+
+/// Whether a request may wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It waits.
+    Waits,
+    /// It would wait too long.
+    TooLong {
+        /// Expected wait.
+        wait: Duration,
+    },
+    /// Too many wait.
+    Full,
+}
+
+/// Requests that wait for one kind of upstream.
+#[derive(Debug)]
+pub struct Queue<T> {
+    waiting: BTreeMap<Ticket, (WaitTerms, T)>,
+    next: Ticket,
+    grants: VecDeque<Instant>,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self { waiting: BTreeMap::new(), next: 0, grants: VecDeque::new() }
+    }
+}
+
+/// Queues by what the upstreams serve.
+pub type Queues<T> = BTreeMap<TargetKind, Queue<T>>;
+
+impl<T> Queue<T> {
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Notes that a request went to an upstream.
+    pub fn granted(&mut self, now: Instant) {
+        self.grants.push_back(now);
+        while self.grants.front().is_some_and(|at| now >= *at + RATE_WINDOW) {
+            self.grants.pop_front();
+        }
+    }
+
+    /// Whether a request may wait, by those that would go before it.
+    pub fn admit(&self, now: Instant, terms: &WaitTerms) -> Admission {
+        if self.waiting.len() >= MAX_WAITING {
+            return Admission::Full;
+        }
+        let wait = self.expected_wait(now, terms);
+        if now + wait > terms.give_up_at {
+            return Admission::TooLong { wait };
+        }
+        Admission::Waits
+    }
+
+    fn expected_wait(&self, now: Instant, terms: &WaitTerms) -> Duration {
+        let rank = order(now, terms);
+        let ahead = self.waiting.values().filter(|(t, _)| order(now, t) <= rank).count();
+        let recent = self.grants.iter().filter(|at| now < **at + RATE_WINDOW).count();
+        let per_second = recent as f64 / RATE_WINDOW.as_secs_f64();
+        if ahead == 0 || per_second <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(ahead as f64 / per_second)
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, terms: WaitTerms, request: T) -> Ticket {
+        let ticket = self.next;
+        self.next += 1;
+        self.waiting.insert(ticket, (terms, request));
+        ticket
+    }
+
+    /// Removes a request, if it still waits.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
+        self.waiting.remove(&ticket).map(|(_, request)| request)
+    }
+
+    /// The request that goes next.
+    pub fn first(&self, now: Instant) -> Option<(Ticket, &T)> {
+        let first = self.waiting.iter().min_by_key(|(ticket, (t, _))| (order(now, t), **ticket));
+        first.map(|(ticket, (_, request))| (*ticket, request))
+    }
+}
+
+/// Those that can be on time first, by rank and by how soon they must go; then the late ones.
+fn order(now: Instant, terms: &WaitTerms) -> (bool, u8, Instant) {
+    let late = now > terms.on_time_until;
+    (late, terms.urgency, if late { terms.give_up_at } else { terms.on_time_until })
+}
