--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -12,4 +12,6 @@
     /// file with the node's settings
     #[options(meta = "FILE")]
     pub settings: Option<String>,
+    /// serve on the users' platform, with the settings file that it names
+    pub platform: bool,
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -15,6 +15,9 @@
         println!("turmerictackd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if arguments.platform {
+        return run_on_platform();
+    }
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -27,8 +30,18 @@
     }
 }
 
+fn run_on_platform() -> ExitCode {
+    match turmerictack_adapter::daemon::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("turmerictackd: {e}");
+            if e.is_usage() { ExitCode::from(EXIT_USAGE) } else { ExitCode::FAILURE }
+        }
+    }
+}
+
 fn run(arguments: &Arguments) -> Result<(), NodeError> {
     let settings = options::load(arguments)?;
-    logs::open(settings.log_level)?;
+    let _log = logs::open(settings.log_level, Box::new(std::io::stderr()))?;
     node::run(settings)
 }
