Give each fabric domain one model, and leave a stalled upstream only with a repeat in hand

Change: domains prefer the model that they have most of; loads go to whole groups of the scarcest model first, then to spares; a repeat is taken before the upstream is left; nodes that were just listed count as alive, so one of nine begins at once.

--- a/crates/groups/src/formation/choice.rs
+++ b/crates/groups/src/formation/choice.rs
@@ -1,4 +1,7 @@
 //! Which groups to form from free instances, and what to load onto the others.
+//!
+//! Each fabric domain prefers one model, so that the survivors of its broken groups can form new
+//! ones among themselves without a load.
 
 use {
     super::{EngineInstance, Formation, ModelProfile, Models, Order, Phase, Steps, View},
@@ -21,7 +24,10 @@
     Cold,
 }
 
-type FreeByDomain = BTreeMap<(ServiceId, FabricDomain), BTreeSet<InstanceId>>;
+type Domain = (ServiceId, FabricDomain);
+type Profiles = BTreeMap<ModelId, ModelProfile>;
+/// Instances by model.
+type Supply = BTreeMap<ModelId, usize>;
 
 impl Formation {
     /// Adds groups to the plan, and orders loads for what can't be formed yet.
@@ -33,29 +39,73 @@
         plan: &mut Plan,
         steps: &mut Steps,
     ) {
-        let mut assigned = assigned(plan);
-        let mut free_by_domain = self.free(now, view, plan, steps);
-        for ((service, _), free) in &mut free_by_domain {
-            let Some(profiles) = models.get(service) else { continue };
-            while let Some((model, members)) = self.formable(view, profiles, &assigned, free) {
-                for id in &members {
-                    free.remove(id);
+        let preferences = self.preferences(models, view, plan);
+        let free = self.free(now, view, plan, steps);
+        for (service, profiles) in models {
+            let mut domains: BTreeMap<&Domain, BTreeSet<InstanceId>> = free
+                .iter()
+                .filter(|((s, _), _)| s == service)
+                .map(|(domain, ids)| (domain, ids.clone()))
+                .collect();
+            let mut supply = planned_supply(service, plan);
+            for free in domains.values_mut() {
+                while let Some((model, members)) = self.formable(view, profiles, &supply, free) {
+                    take(free, &members);
+                    *supply.entry(model.clone()).or_default() += members.len();
+                    plan.add(service.clone(), model, members);
                 }
-                *assigned.entry(model.clone()).or_default() += members.len();
-                plan.add(service.clone(), model, members);
             }
+            self.load(now, view, profiles, &preferences, &mut supply, domains, steps);
         }
-        for ((service, _), free) in &mut free_by_domain {
-            let Some(profiles) = models.get(service) else { continue };
-            self.load_domain(now, view, profiles, &mut assigned, free, steps);
+    }
+
+    /// Model that each domain is for: the one that it has most of, or else the scarcest.
+    fn preferences(&self, models: &Models, view: &View, plan: &Plan) -> BTreeMap<Domain, ModelId> {
+        let planned: BTreeMap<&InstanceId, &ModelId> =
+            plan.groups.values().flat_map(|g| g.members.iter().map(|id| (id, &g.model))).collect();
+        let mut strength: BTreeMap<Domain, Supply> = BTreeMap::new();
+        let mut size: BTreeMap<Domain, usize> = BTreeMap::new();
+        for (id, engine) in &view.engines {
+            let Some(profiles) = models.get(&engine.service) else { continue };
+            let domain = (engine.service.clone(), engine.domain.clone());
+            *size.entry(domain.clone()).or_default() += 1;
+            let strength = strength.entry(domain).or_default();
+            for model in profiles.keys() {
+                let serves = planned.get(id) == Some(&model);
+                let is_warm = self.warmth(id, engine, model) != Warmth::Cold
+                    || self.loads.running(id) == Some(model);
+                let points = 2 * usize::from(serves) + usize::from(is_warm);
+                *strength.entry(model.clone()).or_default() += points;
+            }
         }
+        let mut preferences = BTreeMap::new();
+        let mut supply: BTreeMap<&ServiceId, Supply> = BTreeMap::new();
+        let is_settled = |domain: &Domain| strength[domain].values().any(|points| *points > 0);
+        let (settled, open): (Vec<&Domain>, Vec<&Domain>) =
+            size.keys().partition(|domain| is_settled(domain));
+        for domain in settled.into_iter().chain(open) {
+            let supply = supply.entry(&domain.0).or_default();
+            let scarcest = by_need(&models[&domain.0], supply);
+            let points = |model: &ModelId| strength[domain].get(model).copied().unwrap_or(0);
+            // The last of several greatest ones wins, so the scarcest goes last.
+            let Some(model) = scarcest.into_iter().rev().max_by_key(points) else { continue };
+            *supply.entry(model.clone()).or_default() += size[domain];
+            preferences.insert(domain.clone(), model);
+        }
+        preferences
     }
 
     /// Instances that belong to no group; one that serves outside the plan is told to leave.
-    fn free(&mut self, now: Instant, view: &View, plan: &Plan, steps: &mut Steps) -> FreeByDomain {
+    fn free(
+        &mut self,
+        now: Instant,
+        view: &View,
+        plan: &Plan,
+        steps: &mut Steps,
+    ) -> BTreeMap<Domain, BTreeSet<InstanceId>> {
         let planned: BTreeSet<&InstanceId> =
             plan.groups.values().flat_map(|g| &g.members).collect();
-        let mut free = FreeByDomain::new();
+        let mut free: BTreeMap<Domain, BTreeSet<InstanceId>> = BTreeMap::new();
         for (id, engine) in &view.engines {
             if engine.leaving || planned.contains(id) || view.unreachable.contains(id) {
                 continue;
@@ -68,92 +118,139 @@
                 self.give(now, id, engine, order, steps);
                 continue;
             }
-            let key = (engine.service.clone(), engine.domain.clone());
-            free.entry(key).or_default().insert(id.clone());
+            let domain = (engine.service.clone(), engine.domain.clone());
+            free.entry(domain).or_default().insert(id.clone());
         }
         free
     }
 
-    /// The group that is needed most of those that need no load.
+    /// The scarcest group that the free instances of a domain can form without a load.
     fn formable(
         &self,
         view: &View,
-        profiles: &BTreeMap<ModelId, ModelProfile>,
-        assigned: &BTreeMap<ModelId, usize>,
+        profiles: &Profiles,
+        supply: &Supply,
         free: &BTreeSet<InstanceId>,
     ) -> Option<(ModelId, Vec<InstanceId>)> {
-        for model in by_need(profiles, assigned) {
+        by_need(profiles, supply).into_iter().find_map(|model| {
             let size = profiles[&model].size;
             let mut warm: Vec<(Warmth, &InstanceId)> = free
                 .iter()
                 .filter_map(|id| Some((self.warmth(id, view.engines.get(id)?, &model), id)))
                 .filter(|(warmth, _)| *warmth != Warmth::Cold)
                 .collect();
-            if warm.len() >= size {
-                warm.sort_unstable();
-                let members = warm.into_iter().take(size).map(|(_, id)| id.clone()).collect();
-                return Some((model, members));
+            warm.sort_unstable();
+            let members: Vec<InstanceId> =
+                warm.into_iter().take(size).map(|(_, id)| id.clone()).collect();
+            (members.len() == size).then_some((model, members))
+        })
+    }
+
+    /// Loads weights: whole groups for the scarcest model first, then spares.
+    #[allow(clippy::too_many_arguments, reason = "the parts of one decision")]
+    fn load(
+        &mut self,
+        now: Instant,
+        view: &View,
+        profiles: &Profiles,
+        preferences: &BTreeMap<Domain, ModelId>,
+        supply: &mut Supply,
+        mut domains: BTreeMap<&Domain, BTreeSet<InstanceId>>,
+        steps: &mut Steps,
+    ) {
+        while let Some((domain, model, members)) =
+            self.loadable(view, profiles, preferences, supply, &domains)
+        {
+            if !self.load_all(now, view, &model, &members, steps) {
+                return;
+            }
+            if let Some(free) = domains.get_mut(&domain) {
+                take(free, &members);
+            }
+            *supply.entry(model).or_default() += members.len();
+        }
+        for (domain, free) in domains {
+            let Some(model) = preferences.get(domain) else { continue };
+            let spares: Vec<InstanceId> =
+                free.into_iter().filter(|id| self.loads.running(id).is_none()).collect();
+            if !self.load_all(now, view, model, &spares, steps) {
+                return;
             }
         }
-        None
     }
 
-    /// Loads weights so that the free instances of a domain can form groups.
-    fn load_domain(
+    /// Orders the loads that members lack; `false` when no more may begin now.
+    fn load_all(
         &mut self,
         now: Instant,
         view: &View,
-        profiles: &BTreeMap<ModelId, ModelProfile>,
-        assigned: &mut BTreeMap<ModelId, usize>,
-        free: &mut BTreeSet<InstanceId>,
+        model: &ModelId,
+        members: &[InstanceId],
         steps: &mut Steps,
-    ) {
-        while let Some((model, members)) = self.loadable(view, profiles, assigned, free) {
-            for id in &members {
-                free.remove(id);
-                let Some(engine) = view.engines.get(id) else { continue };
-                let is_cold = self.warmth(id, engine, &model) == Warmth::Cold;
-                if !is_cold || self.loads.running(id) == Some(&model) {
+    ) -> bool {
+        for id in members {
+            let Some(engine) = view.engines.get(id) else { continue };
+            let is_cold = self.warmth(id, engine, model) == Warmth::Cold;
+            if !is_cold || self.loads.running(id) == Some(model) {
+                continue;
+            }
+            if !self.loads.begin(now, id, model) {
+                return false;
+            }
+            let order = Order::Stage { model: model.clone() };
+            steps.orders.push((id.clone(), engine.address.clone(), order));
+        }
+        true
+    }
+
+    /// The scarcest group that free instances could form after loads, in a domain that prefers
+    /// its model or can't form a group of the model that it prefers.
+    fn loadable<'a>(
+        &self,
+        view: &View,
+        profiles: &Profiles,
+        preferences: &BTreeMap<Domain, ModelId>,
+        supply: &Supply,
+        domains: &BTreeMap<&'a Domain, BTreeSet<InstanceId>>,
+    ) -> Option<(&'a Domain, ModelId, Vec<InstanceId>)> {
+        for model in by_need(profiles, supply) {
+            for (domain, free) in domains {
+                let Some(preferred) = preferences.get(*domain) else { continue };
+                let fits_preferred = free.len() >= profiles[preferred].size;
+                if *preferred != model && fits_preferred {
                     continue;
                 }
-                if !self.loads.begin(now, id, &model) {
-                    return;
+                if let Some(members) = self.loadable_in(view, &model, profiles[&model].size, free) {
+                    return Some((domain, model, members));
                 }
-                let order = Order::Stage { model: model.clone() };
-                steps.orders.push((id.clone(), engine.address.clone(), order));
             }
-            *assigned.entry(model).or_default() += members.len();
         }
+        None
     }
 
-    /// The group that is needed most of those that free instances could form after loads.
-    fn loadable(
+    fn loadable_in(
         &self,
         view: &View,
-        profiles: &BTreeMap<ModelId, ModelProfile>,
-        assigned: &BTreeMap<ModelId, usize>,
+        model: &ModelId,
+        size: usize,
         free: &BTreeSet<InstanceId>,
-    ) -> Option<(ModelId, Vec<InstanceId>)> {
-        for model in by_need(profiles, assigned) {
-            let size = profiles[&model].size;
-            let mut candidates: Vec<(bool, Warmth, &InstanceId)> = free
-                .iter()
-                .filter_map(|id| {
-                    let warmth = self.warmth(id, view.engines.get(id)?, &model);
-                    let loads = self.loads.running(id);
-                    if loads.is_some_and(|m| *m != model) && warmth == Warmth::Cold {
-                        return None;
-                    }
-                    Some((loads != Some(&model), warmth, id))
-                })
-                .collect();
-            if candidates.len() >= size {
-                candidates.sort_unstable();
-                let members = candidates.into_iter().take(size).map(|(.., id)| id.clone());
-                return Some((model, members.collect()));
-            }
-        }
-        None
+    ) -> Option<Vec<InstanceId>> {
+        let mut candidates: Vec<(Warmth, bool, &InstanceId)> = free
+            .iter()
+            .filter_map(|id| {
+                let warmth = self.warmth(id, view.engines.get(id)?, model);
+                let loads = self.loads.running(id);
+                let loads_other = loads.is_some_and(|m| m != model);
+                if loads_other && warmth == Warmth::Cold {
+                    return None;
+                }
+                Some((warmth, loads != Some(model), id))
+            })
+            .collect();
+        candidates.sort_unstable();
+        let members: Vec<InstanceId> =
+            candidates.into_iter().take(size).map(|(.., id)| id.clone()).collect();
+        (members.len() == size).then_some(members)
     }
 
     fn warmth(&self, id: &InstanceId, engine: &EngineInstance, model: &ModelId) -> Warmth {
@@ -168,25 +265,28 @@
     }
 }
 
-/// Instances in planned groups, by model.
-fn assigned(plan: &Plan) -> BTreeMap<ModelId, usize> {
-    let mut assigned = BTreeMap::new();
-    for group in plan.groups.values() {
-        *assigned.entry(group.model.clone()).or_default() += group.members.len();
+fn take(free: &mut BTreeSet<InstanceId>, members: &[InstanceId]) {
+    for id in members {
+        free.remove(id);
+    }
+}
+
+/// Instances of a service in planned groups.
+fn planned_supply(service: &ServiceId, plan: &Plan) -> Supply {
+    let mut supply = Supply::new();
+    for group in plan.groups.values().filter(|g| g.service == *service) {
+        *supply.entry(group.model.clone()).or_default() += group.members.len();
     }
-    assigned
+    supply
 }
 
 /// Models, the one with the fewest instances for its share of the work first.
-fn by_need(
-    profiles: &BTreeMap<ModelId, ModelProfile>,
-    assigned: &BTreeMap<ModelId, usize>,
-) -> Vec<ModelId> {
-    let supply = |model: &ModelId| {
-        let instances = assigned.get(model).copied().unwrap_or(0) as f64;
+fn by_need(profiles: &Profiles, supply: &Supply) -> Vec<ModelId> {
+    let relative = |model: &ModelId| {
+        let instances = supply.get(model).copied().unwrap_or(0) as f64;
         instances / profiles[model].share.max(f64::MIN_POSITIVE)
     };
     let mut models: Vec<ModelId> = profiles.keys().cloned().collect();
-    models.sort_by(|a, b| supply(a).total_cmp(&supply(b)));
+    models.sort_by(|a, b| relative(a).total_cmp(&relative(b)));
     models
 }
--- a/crates/groups/src/formation/loads.rs
+++ b/crates/groups/src/formation/loads.rs
@@ -12,6 +12,9 @@
 /// Window over which the rate of loads is kept; the platform counts the same.
 const WINDOW: Duration = Duration::from_secs(5);
 
+/// Loads beyond those at full speed, so that the store never idles between two steps.
+const EXTRA_AT_ONCE: usize = 2;
+
 /// Time after which a load that shows no effect counts as failed.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -59,7 +62,7 @@
     /// Begins a load if the rate allows it.
     pub(super) fn begin(&mut self, now: Instant, id: &InstanceId, model: &ModelId) -> bool {
         let allowed = self.limits.per_second * WINDOW.as_secs_f64();
-        let is_busy = self.running.len() >= self.limits.at_once;
+        let is_busy = self.running.len() >= self.limits.at_once + EXTRA_AT_ONCE;
         if is_busy || self.begun.len() as f64 + 1.0 > allowed {
             return false;
         }
--- a/crates/serving/src/attempts.rs
+++ b/crates/serving/src/attempts.rs
@@ -30,6 +30,8 @@
 pub enum Next {
     /// Send it to another upstream, if the budget of repeats allows it.
     Again,
+    /// Send it to another upstream; the budget was asked before.
+    AgainPaid,
     /// Give up.
     GiveUp(Refusal),
 }
@@ -65,6 +67,11 @@
         self.runs < self.max_runs && self.sends < self.max_runs + EXTRA_SENDS
     }
 
+    /// Whether an upstream that may have begun to run it can be given up for another.
+    pub fn may_leave(&self) -> bool {
+        self.repeatable && self.runs + 1 < self.max_runs && self.sends < self.max_runs + EXTRA_SENDS
+    }
+
     /// Counts a run that began at an upstream and did not end well.
     pub fn ran(&mut self, instance: &InstanceId) {
         self.runs += 1;
--- a/crates/serving/src/beats.rs
+++ b/crates/serving/src/beats.rs
@@ -147,7 +147,8 @@
         let mut looks = 0;
         loop {
             if let Some(addresses) = self.nodes.peers().await {
-                self.tables.members.lock().set_listed(addresses);
+                let now = self.clock.now();
+                self.tables.members.lock().set_listed(now, addresses);
             }
             looks += 1;
             sleep(if looks <= QUICK_LOOKS { LIST_FIRST } else { LIST_EVERY }).await;
--- a/crates/serving/src/control.rs
+++ b/crates/serving/src/control.rs
@@ -32,7 +32,7 @@
 const STEP_EVERY: Duration = Duration::from_millis(100);
 
 /// Time that a node listens for others before it takes charge.
-const LISTEN_FIRST: Duration = Duration::from_millis(900);
+const LISTEN_FIRST: Duration = Duration::from_millis(500);
 
 /// Time between two questions to an instance that may be silent.
 const PROBE_EVERY: Duration = Duration::from_millis(300);
@@ -123,7 +123,7 @@
     fn is_in_charge(&self) -> bool {
         let now = self.clock.now();
         let eligible = self.tables.store_answers(now) && !self.tables.lifecycle.lock().leaving;
-        self.tables.members.lock().is_in_charge(now, &self.identity.node, eligible)
+        self.tables.members.lock().is_in_charge(now, &self.identity.address, eligible)
     }
 
     fn take_reports(&self, work: &mut Work, reported: &mut UnboundedReceiver<Report>) {
--- a/crates/serving/src/desk.rs
+++ b/crates/serving/src/desk.rs
@@ -189,7 +189,7 @@
             };
             attempts.sending();
             let target = Arc::clone(&permit.target);
-            let sent = self.send(&job, &target, job.request.resume_after).await;
+            let sent = self.send(&job, &target, &attempts, job.request.resume_after).await;
             let next = match sent {
                 Sent::Answered(answer) if answer.success && job.route.streams => {
                     match self.begin_stream(&job, answer, permit, &mut attempts).await {
@@ -210,7 +210,7 @@
                 }
                 Sent::Stalled => {
                     permit.conclude(Verdict::Neutral);
-                    attempts.failed(&target.instance, &SendError::Broken)
+                    self.after_stall(&mut attempts, &target)
                 }
                 Sent::Expired => {
                     permit.conclude(Verdict::Neutral);
@@ -219,6 +219,7 @@
                 }
             };
             match next {
+                Next::AgainPaid => {}
                 Next::Again if self.take_repeat(&job) => {}
                 Next::Again => {
                     let refusal = attempts.refusal(Reason::RepeatBudget);
@@ -307,7 +308,13 @@
     }
 
     /// Sends a request and waits for the head of its answer.
-    async fn send(&self, job: &Job, target: &Target, resume_after: Option<EventPosition>) -> Sent {
+    async fn send(
+        &self,
+        job: &Job,
+        target: &Target,
+        attempts: &Attempts,
+        resume_after: Option<EventPosition>,
+    ) -> Sent {
         let dispatch = job.dispatch(resume_after);
         let mut sending = self.upstreams.send(&target.instance, &target.address, dispatch);
         let may_move = job.route.streams && job.route.is_repeatable();
@@ -319,8 +326,7 @@
             match timeout(left.min(STALL_CHECK), &mut sending).await {
                 Ok(Ok(answer)) => return Sent::Answered(answer),
                 Ok(Err(error)) => return Sent::Failed(error),
-                Err(_) if may_move && self.is_stalled(target) => {
-                    self.note_stall(job, target);
+                Err(_) if may_move && self.may_leave_stalled(job, target, attempts) => {
                     return Sent::Stalled;
                 }
                 Err(_) => {}
@@ -328,10 +334,34 @@
         }
     }
 
-    /// Whether no stream from an upstream moves.
-    pub(crate) fn is_stalled(&self, target: &Target) -> bool {
+    /// Whether a request should leave an upstream whose streams stand still; takes a repeat.
+    ///
+    /// Without another upstream or a repeat it is better to go on waiting.
+    pub(crate) fn may_leave_stalled(
+        &self,
+        job: &Job,
+        target: &Target,
+        attempts: &Attempts,
+    ) -> bool {
         let now = self.clock.now();
-        self.tables.placing.lock().loads.is_stalled(now, target.key)
+        let leaves = attempts.may_leave()
+            && self.tables.placing.lock().loads.is_stalled(now, target.key)
+            && self.take_repeat(job);
+        if leaves {
+            let _ = self.metrics.count("streams.stalled", 1);
+            logs::event("upstream_stalled")
+                .with("request", &job.request.id)
+                .with("upstream", &target.instance)
+                .with("group", target.group.as_deref().unwrap_or("-"))
+                .with("waited_ms", self.age_ms(job))
+                .info();
+        }
+        leaves
+    }
+
+    fn after_stall(&self, attempts: &mut Attempts, target: &Target) -> Next {
+        attempts.ran(&target.instance);
+        Next::AgainPaid
     }
 
     /// Sends a stream that broke off to another upstream, from its last event on.
@@ -340,12 +370,15 @@
         job: &Job,
         attempts: &mut Attempts,
         last: Option<EventPosition>,
+        is_paid: bool,
     ) -> Option<Running> {
-        while attempts.may_resume() && self.take_repeat(job) {
+        let mut is_paid = is_paid;
+        while attempts.may_resume() && (is_paid || self.take_repeat(job)) {
+            is_paid = false;
             let permit = self.place(job, attempts).await.ok()?;
             attempts.sending();
             let target = Arc::clone(&permit.target);
-            match self.send(job, &target, last).await {
+            match self.send(job, &target, attempts, last).await {
                 Sent::Answered(answer) if answer.success => {
                     return Some(Running { permit, body: answer.body });
                 }
@@ -361,6 +394,7 @@
                 Sent::Stalled => {
                     permit.conclude(Verdict::Neutral);
                     attempts.ran(&target.instance);
+                    is_paid = true;
                 }
                 Sent::Expired => return None,
             }
@@ -409,10 +443,12 @@
                     permit.conclude(verdict_of(&error));
                     return Err(attempts.failed(&target.instance, &error));
                 }
-                Err(_) if job.route.is_repeatable() && self.is_stalled(&target) => {
-                    self.note_stall(job, &target);
+                Err(_)
+                    if job.route.is_repeatable()
+                        && self.may_leave_stalled(job, &target, attempts) =>
+                {
                     permit.conclude(Verdict::Neutral);
-                    return Err(attempts.failed(&target.instance, &SendError::Broken));
+                    return Err(self.after_stall(attempts, &target));
                 }
                 Err(_) => {}
             }
@@ -486,16 +522,6 @@
             .info();
     }
 
-    pub(crate) fn note_stall(&self, job: &Job, target: &Target) {
-        let _ = self.metrics.count("streams.stalled", 1);
-        logs::event("upstream_stalled")
-            .with("request", &job.request.id)
-            .with("upstream", &target.instance)
-            .with("group", target.group.as_deref().unwrap_or("-"))
-            .with("waited_ms", self.age_ms(job))
-            .info();
-    }
-
     fn note_first_event(&self, job: &Job, now: Instant) {
         let first = now.saturating_duration_since(job.request.arrived);
         let _ = self.metrics.time("requests.first_event", first);
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -29,9 +29,12 @@
 #[derive(Debug, Default)]
 pub struct Members {
     peers: BTreeMap<NodeId, Peer>,
-    listed: Vec<Address>,
+    listed: BTreeMap<Address, Instant>,
 }
 
+/// Time for which a node counts as alive from the moment that it is first listed.
+const LISTED_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 impl Members {
     /// Takes a beat; one of an earlier run changes nothing.
     pub fn heard(
@@ -50,13 +53,16 @@
     }
 
     /// Takes the platform's list of nodes.
-    pub fn set_listed(&mut self, listed: Vec<Address>) {
-        self.listed = listed;
+    pub fn set_listed(&mut self, now: Instant, listed: Vec<Address>) {
+        self.listed.retain(|address, _| listed.contains(address));
+        for address in listed {
+            self.listed.entry(address).or_insert(now);
+        }
     }
 
     /// Addresses to send beats to.
     pub fn addresses(&self, own: &Address) -> Vec<Address> {
-        let mut all: Vec<Address> = self.listed.clone();
+        let mut all: Vec<Address> = self.listed.keys().cloned().collect();
         all.extend(self.peers.values().map(|p| p.address.clone()));
         all.sort_unstable();
         all.dedup();
@@ -70,12 +76,21 @@
     }
 
     /// Whether this node is in charge of the groups.
-    pub fn is_in_charge(&self, now: Instant, own: &NodeId, eligible: bool) -> bool {
-        let others = self
-            .peers
+    pub fn is_in_charge(&self, now: Instant, own: &Address, eligible: bool) -> bool {
+        if !eligible || !self.listed.contains_key(own) {
+            return false;
+        }
+        let heard = self.peers.values();
+        let alive = heard
+            .filter(|p| p.eligible && now < p.heard + BEAT_TIMEOUT)
+            .map(|p| p.address.as_str());
+        let is_unheard = |address: &Address| self.peers.values().all(|p| p.address != *address);
+        let starting = self
+            .listed
             .iter()
-            .filter(|(id, p)| *id != own && p.eligible && now < p.heard + BEAT_TIMEOUT)
-            .map(|(id, _)| id.as_str());
-        eligible && owners(CONTROL_KEY, others.chain([own.as_str()]), 1) == [own.as_str()]
+            .filter(|(address, since)| now < **since + LISTED_TIMEOUT && is_unheard(address))
+            .map(|(address, _)| address.as_str());
+        let candidates = alive.chain(starting).filter(|a| a != own).chain([own.as_str()]);
+        owners(CONTROL_KEY, candidates, 1) == [own.as_str()]
     }
 }
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -87,13 +87,12 @@
                 Ok(Err(error)) => {
                     let target = Arc::clone(&running.permit.target);
                     self.desk.note_failed_send(&self.job, &target, &error);
-                    self.go_on(verdict_of(&error)).await?;
+                    self.go_on(verdict_of(&error), false).await?;
                 }
                 Err(_) => {
                     let target = Arc::clone(&running.permit.target);
-                    if self.may_move() && self.desk.is_stalled(&target) {
-                        self.desk.note_stall(&self.job, &target);
-                        self.go_on(Verdict::Neutral).await?;
+                    if self.desk.may_leave_stalled(&self.job, &target, &self.attempts) {
+                        self.go_on(Verdict::Neutral, true).await?;
                     }
                 }
             }
@@ -115,12 +114,8 @@
         Some(events.bytes)
     }
 
-    fn may_move(&self) -> bool {
-        self.job.route.is_repeatable() && self.attempts.may_resume()
-    }
-
-    /// Goes on at another upstream, or ends the stream.
-    async fn go_on(&mut self, verdict: Verdict) -> Result<(), StreamCut> {
+    /// Goes on at another upstream, or ends the stream; `is_paid` when a repeat was taken.
+    async fn go_on(&mut self, verdict: Verdict, is_paid: bool) -> Result<(), StreamCut> {
         let Some(running) = self.running.take() else { return Err(StreamCut::UpstreamLost) };
         self.attempts.ran(&running.permit.target.instance);
         drop(running.body);
@@ -128,7 +123,7 @@
         if !self.job.route.is_repeatable() {
             return Err(self.cut(StreamCut::UpstreamLost));
         }
-        match self.desk.resume(&self.job, &mut self.attempts, self.last).await {
+        match self.desk.resume(&self.job, &mut self.attempts, self.last, is_paid).await {
             Some(next) => {
                 logs::event("stream_resumed")
                     .with("request", &self.job.request.id)
