Write a group's end into the plan before its members are told to leave

Both members of a group were cut off from the store; the node in charge took silence for a missing member and dissolved the group after the stall time; a second node, whose configuration came back before its list of instances, then formed a new group of them from a list ten seconds old. Ruled out: late orders (none was late in either case). Change: retirement is part of the stored plan and is not taken back; a group whose members are all silent is left alone; only a node with a fresh list of instances is in charge; what was remembered is forgotten when charge changes; a plan is read again after two seconds; the clock counts suspension.

--- a/crates/groups/src/formation/choice.rs
+++ b/crates/groups/src/formation/choice.rs
@@ -110,9 +110,10 @@
             if engine.leaving || planned.contains(id) || view.unreachable.contains(id) {
                 continue;
             }
+            // An entry may be older than an order to open, so its phase proves nothing.
             if let Some(stray) = engine.membership.as_ref()
                 && stray.rank == 0
-                && matches!(stray.phase, Phase::Open | Phase::Closing)
+                && stray.phase != Phase::Broken
             {
                 let order = Order::Leave { group: stray.group.clone(), epoch: stray.epoch };
                 self.give(now, id, engine, order, steps);
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -210,6 +210,12 @@
         self.loads.set_limits(limits);
     }
 
+    /// Forgets what another node in charge may have overtaken.
+    pub fn forget_progress(&mut self) {
+        self.retiring.clear();
+        self.completed.clear();
+    }
+
     /// Takes what came of an order.
     pub fn answered(&mut self, now: Instant, id: &InstanceId, order: &Order, result: OrderResult) {
         if let Some(given) = self.given.get_mut(&(id.clone(), order.clone())) {
@@ -235,12 +241,14 @@
         for (name, group) in &plan.groups {
             if self.is_over(now, view, name, group) {
                 next.groups.remove(name);
-                self.retiring.remove(name);
-                self.completed.remove(name);
                 continue;
             }
-            if self.retiring.contains_key(name) {
+            if group.retiring {
                 self.retire(now, view, name, group, &mut steps);
+            } else if self.must_retire(view, name, group) {
+                if let Some(group) = next.groups.get_mut(name) {
+                    group.retiring = true;
+                }
             } else {
                 self.advance(now, view, name, group, &mut steps);
             }
@@ -252,11 +260,6 @@
         steps
     }
 
-    /// Groups that are to serve no more.
-    pub fn retiring(&self) -> impl Iterator<Item = &GroupId> {
-        self.retiring.keys()
-    }
-
     fn remember(&mut self, now: Instant, view: &View, plan: &Plan) {
         for (id, engine) in &view.engines {
             self.addresses.insert(id.clone(), engine.address.clone());
@@ -277,7 +280,7 @@
         }
     }
 
-    /// Brings a group closer to serving, or begins to retire it.
+    /// Brings a group closer to serving.
     fn advance(
         &mut self,
         now: Instant,
@@ -286,11 +289,6 @@
         group: &PlannedGroup,
         steps: &mut Steps,
     ) {
-        if let Some(planned) = self.must_retire(view, name, group) {
-            self.retiring.insert(name.clone(), Retirement::new(now, planned));
-            self.retire(now, view, name, group, steps);
-            return;
-        }
         let mut all_ready = true;
         for id in &group.members {
             let Some(engine) = view.engines.get(id) else { continue };
@@ -321,30 +319,25 @@
         }
     }
 
-    /// Whether a group has to retire, and if so whether its members still work.
-    fn must_retire(&self, view: &View, name: &GroupId, group: &PlannedGroup) -> Option<bool> {
-        let head = group.head()?;
+    /// Whether a group has to be dissolved.
+    ///
+    /// One whose members are all silent may well be serving, and nothing is gained by it.
+    fn must_retire(&self, view: &View, name: &GroupId, group: &PlannedGroup) -> bool {
+        let Some(head) = group.head() else { return true };
+        if group.members.iter().all(|id| view.live(id).is_none()) {
+            return false;
+        }
         let moves = view.progressing.contains(head) && view.live(head).is_some();
         let phase = view.live(head).and_then(|e| member_phase(e, name, group));
-        if phase == Some(Phase::Broken) {
-            return Some(false);
-        }
         let complete =
             self.completed.contains(name) || matches!(phase, Some(Phase::Open | Phase::Closing));
-        let mut leaves = false;
-        for id in &group.members {
-            match view.live(id) {
-                None if moves => {}
-                None => return Some(false),
-                Some(engine) if engine.leaving => leaves = true,
-                Some(engine) => {
-                    if complete && member_phase(engine, name, group).is_none() {
-                        return Some(false);
-                    }
-                }
+        let is_lost = |id: &InstanceId| match view.live(id) {
+            None => !moves,
+            Some(engine) => {
+                engine.leaving || (complete && member_phase(engine, name, group).is_none())
             }
-        }
-        leaves.then_some(true)
+        };
+        phase == Some(Phase::Broken) || group.members.iter().any(is_lost)
     }
 
     /// Gives an order unless it was given a short time ago.
@@ -356,7 +349,7 @@
         order: Order,
         steps: &mut Steps,
     ) {
-        self.give_at(now, id, &engine.address, order, steps);
+        self.give_at(now, id, &engine.address, order, false, steps);
     }
 
     fn give_at(
@@ -365,12 +358,14 @@
         id: &InstanceId,
         address: &Address,
         order: Order,
+        is_silent: bool,
         steps: &mut Steps,
     ) {
         let key = (id.clone(), order);
         if let Some(given) = self.given.get(&key) {
             let wait = match given.result {
                 Some(OrderResult::Accepted) => EFFECT_TIMEOUT,
+                _ if is_silent => EFFECT_TIMEOUT,
                 _ => ANSWER_TIMEOUT,
             };
             if now < given.at + wait {
--- a/crates/groups/src/formation/retire.rs
+++ b/crates/groups/src/formation/retire.rs
@@ -17,8 +17,6 @@
 #[derive(Debug)]
 pub(super) struct Retirement {
     since: Instant,
-    /// Whether all members still work, so that requests can be finished first.
-    planned: bool,
     /// When one of the members is known to have left or to be gone.
     incomplete_since: Option<Instant>,
     /// Instance that has left or is gone.
@@ -26,8 +24,8 @@
 }
 
 impl Retirement {
-    pub(super) fn new(now: Instant, planned: bool) -> Self {
-        Self { since: now, planned, incomplete_since: None, released: Vec::new() }
+    pub(super) fn new(now: Instant) -> Self {
+        Self { since: now, incomplete_since: None, released: Vec::new() }
     }
 
     /// Takes what an instance answered to the order to leave.
@@ -84,13 +82,16 @@
         steps: &mut Steps,
     ) {
         let Some(head) = group.head() else { return };
-        let Some(retirement) = self.retiring.get_mut(name) else { return };
+        let since = self.retiring.entry(name.clone()).or_insert_with(|| Retirement::new(now)).since;
         let (epoch, group_name) = (group.epoch, name.clone());
         let phase = view.live(head).and_then(|e| member_phase(e, name, group));
-        let finishes = retirement.planned
-            && now < retirement.since + CLOSE_TIMEOUT
-            && matches!(phase, Some(Phase::Open | Phase::Closing))
-            && group.members.iter().all(|id| view.live(id).is_some());
+        let all_work = group
+            .members
+            .iter()
+            .all(|id| view.live(id).is_some_and(|e| member_phase(e, name, group).is_some()));
+        let finishes = all_work
+            && now < since + CLOSE_TIMEOUT
+            && matches!(phase, Some(Phase::Open | Phase::Closing));
         if finishes {
             if phase == Some(Phase::Open)
                 && let Some(engine) = view.engines.get(head)
@@ -102,7 +103,8 @@
         }
         let leave = Order::Leave { group: group_name, epoch };
         if let Some(address) = self.addresses.get(head).cloned() {
-            self.give_at(now, head, &address, leave.clone(), steps);
+            let is_silent = view.live(head).is_none();
+            self.give_at(now, head, &address, leave.clone(), is_silent, steps);
         }
         if view.live(head).is_some() {
             return;
@@ -110,18 +112,12 @@
         // A silent head stands still only once another member has left.
         let other = group.members.iter().skip(1).find(|id| view.live(id).is_some());
         let is_complete = self.retiring.get(name).is_some_and(|r| r.incomplete_since.is_none());
-        match other {
-            Some(id) if is_complete => {
-                if let Some(engine) = view.engines.get(id) {
-                    self.give(now, id, engine, leave, steps);
-                }
-            }
-            Some(_) => {}
-            None => {
-                if let Some(retirement) = self.retiring.get_mut(name) {
-                    retirement.incomplete_since.get_or_insert(now);
-                }
-            }
+        // When all are silent the group may well be serving, so nothing is concluded.
+        if let Some(engine) = other.and_then(|id| view.engines.get(id))
+            && let Some(id) = other
+            && is_complete
+        {
+            self.give(now, id, engine, leave, steps);
         }
     }
 }
--- a/crates/groups/src/plan.rs
+++ b/crates/groups/src/plan.rs
@@ -20,6 +20,10 @@
     pub epoch: Epoch,
     /// Members; the first one takes the requests.
     pub members: Vec<InstanceId>,
+    /// Whether it is to be dissolved; set before the first order to leave, and never taken back,
+    /// so that no node in charge brings back what another has begun to take apart.
+    #[serde(default)]
+    pub retiring: bool,
 }
 
 impl PlannedGroup {
@@ -49,7 +53,8 @@
         self.last_epoch += 1;
         let epoch = self.last_epoch;
         let name = format!("group-{epoch}");
-        self.groups.insert(name.clone(), PlannedGroup { service, model, epoch, members });
+        self.groups
+            .insert(name.clone(), PlannedGroup { service, model, epoch, members, retiring: false });
         (name, epoch)
     }
 }
--- a/crates/model/src/clock.rs
+++ b/crates/model/src/clock.rs
@@ -1,8 +1,11 @@
 //! The clock, passed in wherever time matters.
 
-use std::{
-    sync::Mutex,
-    time::{Duration, Instant, SystemTime},
+use {
+    nix::time::{ClockId, clock_gettime},
+    std::{
+        sync::Mutex,
+        time::{Duration, Instant, SystemTime},
+    },
 };
 
 /// Source of time for decisions.
@@ -13,13 +16,31 @@
     fn wall(&self) -> SystemTime;
 }
 
-/// The machine's clock.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SystemClock;
+/// The machine's clock; its monotonic time goes on while the machine is suspended, so that what
+/// was believed before does not look fresh afterwards.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    origin: Instant,
+    boot_origin: Duration,
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self { origin: Instant::now(), boot_origin: since_boot().unwrap_or_default() }
+    }
+}
+
+/// Time since the machine was started, suspensions included.
+fn since_boot() -> Option<Duration> {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).ok().map(Duration::from)
+}
 
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        match since_boot() {
+            Some(now) => self.origin + now.saturating_sub(self.boot_origin),
+            None => Instant::now(),
+        }
     }
 
     fn wall(&self) -> SystemTime {
--- a/crates/node/src/borders.rs
+++ b/crates/node/src/borders.rs
@@ -48,7 +48,7 @@
         let traffic = Arc::new(Traffic::default());
         let peers = H2Link::open(&settings.peer_key, system_nonces(), Arc::clone(&traffic));
         Ok(Self {
-            clock: Arc::new(SystemClock),
+            clock: Arc::new(SystemClock::default()),
             store: platform.clone(),
             instances: platform,
             peers: Arc::new(peers),
--- a/crates/node/tests/acceptor.rs
+++ b/crates/node/tests/acceptor.rs
@@ -98,7 +98,7 @@
         state: NodeState::Alive,
     };
     let tables = Arc::new(Tables::new(me, 1, Instant::now()));
-    let clock = Arc::new(SystemClock);
+    let clock = Arc::new(SystemClock::default());
     let any = "127.0.0.1:0".to_owned();
     let acceptor =
         Acceptor::bind(&any, Listener::Callers, limits, Arc::clone(&tables), clock).await;
--- a/crates/protocol/src/beat.rs
+++ b/crates/protocol/src/beat.rs
@@ -46,8 +46,8 @@
     pub address: Address,
     /// Run of the sender.
     pub incarnation: Incarnation,
-    /// Whether the platform's store answered the sender lately.
-    pub store_answers: bool,
+    /// Whether the sender's view of the instances is fresh.
+    pub has_fresh_view: bool,
     /// Whether the sender is about to stop.
     pub leaving: bool,
     /// Load by upstream.
--- a/crates/serving/src/beats.rs
+++ b/crates/serving/src/beats.rs
@@ -91,14 +91,14 @@
             (placing.loads.own(now), placing.loads.stalled(now))
         };
         let strikes = self.tables.quarantine.lock().news();
-        let store_answers = self.tables.store_answers(now);
+        let has_fresh_view = self.tables.has_fresh_view(now);
         let leaving = self.tables.lifecycle.lock().leaving;
         Beat {
             version: BEAT_VERSION,
             node: self.identity.node.clone(),
             address: self.identity.address.clone(),
             incarnation: self.identity.incarnation,
-            store_answers,
+            has_fresh_view,
             leaving,
             loads,
             silent,
@@ -124,7 +124,7 @@
             return;
         }
         let now = self.clock.now();
-        let eligible = beat.store_answers && !beat.leaving;
+        let eligible = beat.has_fresh_view && !beat.leaving;
         self.tables.members.lock().heard(
             now,
             &beat.node,
--- a/crates/serving/src/control.rs
+++ b/crates/serving/src/control.rs
@@ -40,6 +40,12 @@
 /// Time that an instance gets to answer a question.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a plan that was read or written is acted on without another look.
+const PLAN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Replacements of the plan in one step at most.
+const MAX_REPLACEMENTS: usize = 3;
+
 /// Questions without an answer after which an instance counts as unreachable.
 const MISSED_PROBES: u32 = 2;
 
@@ -71,6 +77,7 @@
 struct Work {
     formation: Formation,
     plan: Option<(Plan, Version)>,
+    confirmed: Option<Instant>,
     engines: Arc<BTreeMap<InstanceId, EngineInstance>>,
     seen: u64,
     probes: BTreeMap<InstanceId, Probe>,
@@ -96,6 +103,7 @@
         let mut work = Work {
             formation: Formation::new(stall, DEFAULT_LOADS),
             plan: None,
+            confirmed: None,
             engines: Arc::default(),
             seen: 0,
             probes: BTreeMap::new(),
@@ -111,6 +119,7 @@
             if in_charge != was_in_charge {
                 was_in_charge = in_charge;
                 work.plan = None;
+                work.formation.forget_progress();
                 logs::event("groups_charge").with("in_charge", in_charge).info();
             }
             self.take_reports(&mut work, &mut reported);
@@ -122,7 +131,7 @@
 
     fn is_in_charge(&self) -> bool {
         let now = self.clock.now();
-        let eligible = self.tables.store_answers(now) && !self.tables.lifecycle.lock().leaving;
+        let eligible = self.tables.has_fresh_view(now) && !self.tables.lifecycle.lock().leaving;
         self.tables.members.lock().is_in_charge(now, &self.identity.address, eligible)
     }
 
@@ -151,23 +160,53 @@
 
     async fn step(&self, work: &mut Work) {
         let Some((models, limits)) = self.models() else { return };
-        if work.plan.is_none() {
-            match self.plans.read().await {
-                Ok(read) => work.plan = Some(read),
-                Err(error) => {
-                    logs::event("plan_unread").with("cause", error).warn();
-                    return;
-                }
+        for _ in 0..MAX_REPLACEMENTS {
+            let before = work.plan.as_ref().map(|(_, version)| *version);
+            self.step_once(work, &models, limits).await;
+            let after = work.plan.as_ref().map(|(_, version)| *version);
+            // A plan that was just replaced permits orders that should not wait.
+            if after.is_none() || after == before {
+                return;
             }
         }
+    }
+
+    async fn step_once(&self, work: &mut Work, models: &Models, limits: LoadLimits) {
+        if !self.confirm_plan(work).await {
+            return;
+        }
         let Some((plan, version)) = work.plan.clone() else { return };
         work.formation.set_load_limits(limits);
         let now = self.clock.now();
         let view = self.view(work, now, &plan);
-        let steps = work.formation.step(now, &models, &view, &plan);
+        let steps = work.formation.step(now, models, &view, &plan);
         self.carry_out(work, steps, &plan, version).await;
     }
 
+    /// Reads the plan unless it was read or written lately; `false` when it can't be read.
+    async fn confirm_plan(&self, work: &mut Work) -> bool {
+        let now = self.clock.now();
+        let is_confirmed = work.confirmed.is_some_and(|at| now < at + PLAN_TIMEOUT);
+        if work.plan.is_some() && is_confirmed {
+            return true;
+        }
+        match self.plans.read().await {
+            Ok((plan, version)) => {
+                if work.plan.as_ref().is_some_and(|(_, known)| *known != version) {
+                    work.formation.forget_progress();
+                }
+                work.plan = Some((plan, version));
+                work.confirmed = Some(self.clock.now());
+                true
+            }
+            Err(error) => {
+                logs::event("plan_unread").with("cause", error).warn();
+                work.plan = None;
+                false
+            }
+        }
+    }
+
     async fn carry_out(&self, work: &mut Work, steps: Steps, plan: &Plan, version: Version) {
         for (id, address, order) in steps.orders {
             self.order(work, id, address, order);
@@ -177,6 +216,7 @@
             Ok(version) => {
                 log_changes(plan, &next, version);
                 work.plan = Some((next, version));
+                work.confirmed = Some(self.clock.now());
             }
             Err(error) => {
                 // A write without an answer may have taken effect: only a read tells.
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -23,8 +23,8 @@
     turmerictack_routing::quarantine::Quarantine,
 };
 
-/// Time after its last answer for which the store counts as reachable.
-const STORE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after its last answer for which the view of the instances is fresh enough to act on.
+const VIEW_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A request that waits.
 #[derive(Debug)]
@@ -49,8 +49,8 @@
 pub struct Lifecycle {
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// When the store last answered.
-    pub store_answered: Option<Instant>,
+    /// When the store last answered the question for instances.
+    pub instances_read: Option<Instant>,
 }
 
 /// Everything that tasks share.
@@ -133,9 +133,9 @@
         self.pump_all(now);
     }
 
-    /// Whether the store answered lately.
-    pub fn store_answers(&self, now: Instant) -> bool {
-        self.lifecycle.lock().store_answered.is_some_and(|at| now < at + STORE_TIMEOUT)
+    /// Whether the view of the instances is fresh enough to act on.
+    pub fn has_fresh_view(&self, now: Instant) -> bool {
+        self.lifecycle.lock().instances_read.is_some_and(|at| now < at + VIEW_TIMEOUT)
     }
 
     /// Takes an upstream for a request, or a place in the queue.
