Log where and under which load each request was served

Cause: a late answer could not be told from its log line: neither the upstream nor the wait for a place nor the time to the first event stood there.

--- a/crates/serving/src/attempts.rs
+++ b/crates/serving/src/attempts.rs
@@ -23,6 +23,19 @@
     sends: u32,
     runs: u32,
     tried: Vec<InstanceId>,
+    placement: Option<Placement>,
+    first_event: Option<Duration>,
+}
+
+/// Where and under which load a request was sent last; for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// Upstream.
+    pub instance: InstanceId,
+    /// Requests that were in flight there, over all nodes.
+    pub load: u32,
+    /// Time since the request came.
+    pub waited: Duration,
 }
 
 /// What to do after a failed send.
@@ -39,7 +52,15 @@
 impl Attempts {
     /// No sends yet.
     pub fn new(repeatable: bool, max_runs: u32) -> Self {
-        Self { repeatable, max_runs, sends: 0, runs: 0, tried: Vec::new() }
+        Self {
+            repeatable,
+            max_runs,
+            sends: 0,
+            runs: 0,
+            tried: Vec::new(),
+            placement: None,
+            first_event: None,
+        }
     }
 
     /// Upstreams that failed it.
@@ -58,8 +79,24 @@
     }
 
     /// Counts a send.
-    pub fn sending(&mut self) {
+    pub fn sending(&mut self, placement: Placement) {
         self.sends += 1;
+        self.placement = Some(placement);
+    }
+
+    /// Where it was sent last.
+    pub fn placement(&self) -> Option<&Placement> {
+        self.placement.as_ref()
+    }
+
+    /// Notes the time to the first event.
+    pub fn began(&mut self, after: Duration) {
+        self.first_event = Some(after);
+    }
+
+    /// Time to the first event.
+    pub fn first_event(&self) -> Option<Duration> {
+        self.first_event
     }
 
     /// Whether another upstream may be asked to go on with a stream that has begun.
--- a/crates/serving/src/desk.rs
+++ b/crates/serving/src/desk.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        attempts::{Attempts, Next},
+        attempts::{Attempts, Next, Placement},
         borders::{Answer, SendError, Upstreams},
         catalog::{Access, Account, Catalog, Route},
         directory::{Target, TargetKind},
@@ -187,7 +187,7 @@
                 Ok(permit) => permit,
                 Err(refusal) => return self.give_up(&job, &attempts, failure, refusal),
             };
-            attempts.sending();
+            attempts.sending(self.placement(&job, &permit));
             let target = Arc::clone(&permit.target);
             let sent = self.send(&job, &target, &attempts, job.request.resume_after).await;
             let next = match sent {
@@ -297,6 +297,14 @@
         }
     }
 
+    fn placement(&self, job: &Job, permit: &Permit) -> Placement {
+        Placement {
+            instance: permit.target.instance.clone(),
+            load: self.tables.placing.lock().loads.in_flight(permit.target.key),
+            waited: self.clock.now().saturating_duration_since(job.request.arrived),
+        }
+    }
+
     fn permit(&self, job: &Job, target: Arc<Target>) -> Permit {
         Permit {
             tables: Arc::clone(&self.tables),
@@ -376,7 +384,7 @@
         while attempts.may_resume() && (is_paid || self.take_repeat(job)) {
             is_paid = false;
             let permit = self.place(job, attempts).await.ok()?;
-            attempts.sending();
+            attempts.sending(self.placement(job, &permit));
             let target = Arc::clone(&permit.target);
             match self.send(job, &target, attempts, last).await {
                 Sent::Answered(answer) if answer.success => {
@@ -422,7 +430,7 @@
                 Ok(Ok(Some(first))) => {
                     let now = self.clock.now();
                     self.tables.placing.lock().loads.moved(now, target.key, None);
-                    self.note_first_event(job, now);
+                    self.note_first_event(job, attempts, now);
                     let running = Running { permit, body };
                     let events = EventStream::begin(
                         Arc::clone(self),
@@ -522,8 +530,9 @@
             .info();
     }
 
-    fn note_first_event(&self, job: &Job, now: Instant) {
+    fn note_first_event(&self, job: &Job, attempts: &mut Attempts, now: Instant) {
         let first = now.saturating_duration_since(job.request.arrived);
+        attempts.began(first);
         let _ = self.metrics.time("requests.first_event", first);
     }
 
@@ -531,13 +540,22 @@
         let now = self.clock.now();
         let took = now.saturating_duration_since(job.request.arrived);
         let _ = self.metrics.time("requests.served", took);
-        logs::event("request_served")
+        let mut event = logs::event("request_served")
             .with("request", &job.request.id)
             .with("route", &job.route.id)
             .with("status", status.as_u16())
             .with("sends", attempts.sends())
-            .with("ms", took.as_millis())
-            .info();
+            .with("ms", took.as_millis());
+        if let Some(first) = attempts.first_event() {
+            event = event.with("first_ms", first.as_millis());
+        }
+        if let Some(placement) = attempts.placement() {
+            event = event
+                .with("upstream", &placement.instance)
+                .with("load", placement.load)
+                .with("placed_ms", placement.waited.as_millis());
+        }
+        event.info();
     }
 
     fn note_refusal(&self, request: &Request, job: Option<(&Job, &Attempts)>, refusal: &Refusal) {
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -134,8 +134,7 @@
 
     /// Expected wait at an upstream in requests per slot; nothing when it is full.
     fn score(&self, target: &Target, data_centre: &str) -> Option<f64> {
-        let load = self.by_key.get(&target.key);
-        let in_flight = load.map_or(0, |l| l.own + l.peers);
+        let in_flight = self.in_flight(target.key);
         if in_flight >= target.slots + EXTRA_PER_UPSTREAM {
             return None;
         }
@@ -182,6 +181,11 @@
         load.moved.max(load.peer_moved).is_some_and(|m| now < m + MOVED_RECENTLY)
     }
 
+    /// Requests in flight at an upstream, over all nodes.
+    pub fn in_flight(&self, key: UpstreamKey) -> u32 {
+        self.by_key.get(&key).map_or(0, |l| l.own + l.peers)
+    }
+
     /// Counts a request that goes to an upstream.
     pub fn take(&mut self, now: Instant, target: &Target) {
         let load = self.entry(now, target.key);
