Let every member leave before any of a group moves; leave a stall only for an upstream with room

A test of a flood found that requests left one stalled upstream for another stalled one. Ruled out: epochs that repeat (each is given out once by the conditional write). Change: all members that answer are told to leave, and one that says it still belongs to a dissolved group is told again before it is used; loads time out after three times their length; a stall is left only while a sound upstream has room. The test now reads the plan every two seconds as nodes do.

--- a/crates/groups/src/formation/choice.rs
+++ b/crates/groups/src/formation/choice.rs
@@ -8,7 +8,7 @@
     crate::plan::Plan,
     std::{
         collections::{BTreeMap, BTreeSet},
-        time::Instant,
+        time::{Duration, Instant},
     },
     turmerictack_model::ids::{FabricDomain, InstanceId, ModelId, ServiceId},
 };
@@ -112,12 +112,13 @@
             }
             // An entry may be older than an order to open, so its phase proves nothing.
             if let Some(stray) = engine.membership.as_ref()
-                && stray.rank == 0
                 && stray.phase != Phase::Broken
             {
                 let order = Order::Leave { group: stray.group.clone(), epoch: stray.epoch };
-                self.give(now, id, engine, order, steps);
-                continue;
+                if !self.was_obeyed(id, &order) {
+                    self.give(now, id, engine, order, steps);
+                    continue;
+                }
             }
             let domain = (engine.service.clone(), engine.domain.clone());
             free.entry(domain).or_default().insert(id.clone());
@@ -162,7 +163,7 @@
         while let Some((domain, model, members)) =
             self.loadable(view, profiles, preferences, supply, &domains)
         {
-            if !self.load_all(now, view, &model, &members, steps) {
+            if !self.load_all(now, view, &model, profiles[&model].load, &members, steps) {
                 return;
             }
             if let Some(free) = domains.get_mut(&domain) {
@@ -174,18 +175,20 @@
             let Some(model) = preferences.get(domain) else { continue };
             let spares: Vec<InstanceId> =
                 free.into_iter().filter(|id| self.loads.running(id).is_none()).collect();
-            if !self.load_all(now, view, model, &spares, steps) {
+            if !self.load_all(now, view, model, profiles[model].load, &spares, steps) {
                 return;
             }
         }
     }
 
+    #[allow(clippy::too_many_arguments, reason = "the parts of one order")]
     /// Orders the loads that members lack; `false` when no more may begin now.
     fn load_all(
         &mut self,
         now: Instant,
         view: &View,
         model: &ModelId,
+        length: Duration,
         members: &[InstanceId],
         steps: &mut Steps,
     ) -> bool {
@@ -195,7 +198,7 @@
             if !is_cold || self.loads.running(id) == Some(model) {
                 continue;
             }
-            if !self.loads.begin(now, id, model) {
+            if !self.loads.begin(now, id, model, length) {
                 return false;
             }
             let order = Order::Stage { model: model.clone() };
--- a/crates/groups/src/formation/loads.rs
+++ b/crates/groups/src/formation/loads.rs
@@ -15,8 +15,8 @@
 /// Loads beyond those at full speed, so that the store never idles between two steps.
 const EXTRA_AT_ONCE: usize = 2;
 
-/// Time after which a load that shows no effect counts as failed.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(40);
+/// Times its usual length after which a load that shows no effect counts as failed.
+const LOAD_TIMEOUT_FACTOR: u32 = 3;
 
 /// What the weight store allows.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,8 +50,8 @@
     }
 
     pub(super) fn update(&mut self, now: Instant, view: &View) {
-        self.running.retain(|id, (model, since)| {
-            now < *since + LOAD_TIMEOUT
+        self.running.retain(|id, (model, until)| {
+            now < *until
                 && view.engines.get(id).is_some_and(|e| !e.staged.contains(model) && !e.leaving)
         });
         while self.begun.front().is_some_and(|at| now >= *at + WINDOW) {
@@ -60,14 +60,20 @@
     }
 
     /// Begins a load if the rate allows it.
-    pub(super) fn begin(&mut self, now: Instant, id: &InstanceId, model: &ModelId) -> bool {
+    pub(super) fn begin(
+        &mut self,
+        now: Instant,
+        id: &InstanceId,
+        model: &ModelId,
+        length: Duration,
+    ) -> bool {
         let allowed = self.limits.per_second * WINDOW.as_secs_f64();
         let is_busy = self.running.len() >= self.limits.at_once + EXTRA_AT_ONCE;
         if is_busy || self.begun.len() as f64 + 1.0 > allowed {
             return false;
         }
         self.begun.push_back(now);
-        self.running.insert(id.clone(), (model.clone(), now));
+        self.running.insert(id.clone(), (model.clone(), now + length * LOAD_TIMEOUT_FACTOR));
         true
     }
 
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -37,6 +37,8 @@
     pub share: f64,
     /// Factor on all times of a group.
     pub pace: f64,
+    /// Time to load the weights when the store is not busy.
+    pub load: Duration,
 }
 
 /// State of a member.
@@ -214,6 +216,7 @@
     pub fn forget_progress(&mut self) {
         self.retiring.clear();
         self.completed.clear();
+        self.given.clear();
     }
 
     /// Takes what came of an order.
@@ -340,6 +343,12 @@
         phase == Some(Phase::Broken) || group.members.iter().any(is_lost)
     }
 
+    /// Whether an instance answered lately that an order holds, or does not concern it.
+    fn was_obeyed(&self, id: &InstanceId, order: &Order) -> bool {
+        let given = self.given.get(&(id.clone(), order.clone()));
+        given.and_then(|g| g.result).is_some_and(|result| result != OrderResult::Unanswered)
+    }
+
     /// Gives an order unless it was given a short time ago.
     fn give(
         &mut self,
--- a/crates/groups/src/formation/retire.rs
+++ b/crates/groups/src/formation/retire.rs
@@ -1,7 +1,7 @@
 //! Retiring a group: when its members may move.
 
 use {
-    super::{Formation, Order, OrderResult, Phase, Steps, View, member_phase},
+    super::{EngineInstance, Formation, Order, OrderResult, Phase, Steps, View, member_phase},
     crate::plan::PlannedGroup,
     std::time::{Duration, Instant},
     turmerictack_model::ids::{GroupId, InstanceId},
@@ -51,8 +51,13 @@
     ) -> bool {
         let Some(retirement) = self.retiring.get(name) else { return false };
         let Some(head) = group.head() else { return true };
+        // A late order may bring the head back, so no other member may still belong to it then.
+        let others_left = group.members.iter().skip(1).all(|id| {
+            retirement.released.contains(id)
+                || view.live(id).is_none_or(|e| member_phase(e, name, group).is_none())
+        });
         if retirement.released.contains(head) {
-            return true;
+            return others_left;
         }
         let has_left = view.engines.get(head).is_some_and(|engine| {
             matches!(member_phase(engine, name, group), None | Some(Phase::Broken))
@@ -60,7 +65,7 @@
         });
         let must_have_noticed =
             retirement.incomplete_since.is_some_and(|t| now >= t + self.stall + STALL_MARGIN);
-        has_left || must_have_noticed
+        (has_left && others_left) || must_have_noticed
     }
 
     /// Whether an order to an instance may still be carried out.
@@ -102,22 +107,19 @@
             return;
         }
         let leave = Order::Leave { group: group_name, epoch };
-        if let Some(address) = self.addresses.get(head).cloned() {
+        let head_has_left = self.retiring.get(name).is_some_and(|r| r.released.contains(head));
+        if !head_has_left && let Some(address) = self.addresses.get(head).cloned() {
             let is_silent = view.live(head).is_none();
             self.give_at(now, head, &address, leave.clone(), is_silent, steps);
         }
-        if view.live(head).is_some() {
-            return;
-        }
-        // A silent head stands still only once another member has left.
-        let other = group.members.iter().skip(1).find(|id| view.live(id).is_some());
-        let is_complete = self.retiring.get(name).is_some_and(|r| r.incomplete_since.is_none());
-        // When all are silent the group may well be serving, so nothing is concluded.
-        if let Some(engine) = other.and_then(|id| view.engines.get(id))
-            && let Some(id) = other
-            && is_complete
-        {
-            self.give(now, id, engine, leave, steps);
+        for id in group.members.iter().skip(1) {
+            let has_left = self.retiring.get(name).is_some_and(|r| r.released.contains(id));
+            let belongs = |e: &&EngineInstance| member_phase(e, name, group).is_some();
+            if let Some(engine) = view.live(id).filter(belongs)
+                && !has_left
+            {
+                self.give(now, id, engine, leave.clone(), steps);
+            }
         }
     }
 }
--- a/crates/groups/tests/fabric/mod.rs
+++ b/crates/groups/tests/fabric/mod.rs
@@ -15,7 +15,8 @@
 const LAPSE: Duration = Duration::from_millis(3_600);
 const JOIN_HOT: Duration = Duration::from_millis(200);
 const JOIN_WARM: Duration = Duration::from_millis(1_600);
-const LOAD: Duration = Duration::from_secs(3);
+/// Time to load weights.
+pub const LOAD: Duration = Duration::from_secs(3);
 const CLOSE: Duration = Duration::from_millis(800);
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -4,7 +4,7 @@
 mod fabric;
 
 use {
-    fabric::{Fabric, STALL},
+    fabric::{Fabric, LOAD, STALL},
     rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _},
     rand_pcg::Pcg64Mcg,
     rstest::rstest,
@@ -39,8 +39,12 @@
     view: BTreeMap<InstanceId, EngineInstance>,
     answers: Vec<(InstanceId, Order, OrderResult)>,
     frozen_until: Duration,
+    confirmed: Duration,
 }
 
+/// Time for which a node acts on the plan without another look.
+const PLAN_TIMEOUT: Duration = Duration::from_secs(2);
+
 impl Node {
     fn new() -> Self {
         Self {
@@ -49,6 +53,7 @@
             view: BTreeMap::new(),
             answers: Vec::new(),
             frozen_until: Duration::ZERO,
+            confirmed: Duration::ZERO,
         }
     }
 
@@ -70,8 +75,8 @@
 }
 
 fn models() -> Models {
-    let large = ModelProfile { size: 4, share: 0.5, pace: 1.0 };
-    let small = ModelProfile { size: 2, share: 0.5, pace: 0.6 };
+    let large = ModelProfile { size: 4, share: 0.5, pace: 1.0, load: LOAD };
+    let small = ModelProfile { size: 2, share: 0.5, pace: 0.6, load: LOAD };
     let by_name = BTreeMap::from([("large".to_owned(), large), ("small".to_owned(), small)]);
     BTreeMap::from([("models".to_owned(), by_name)])
 }
@@ -204,11 +209,17 @@
         for (id, order, result) in answers {
             self.nodes[index].formation.answered(instant, &id, &order, result);
         }
-        if self.nodes[index].plan.is_none() {
+        let node = &mut self.nodes[index];
+        if node.plan.is_none() || now >= node.confirmed + PLAN_TIMEOUT {
             if now < self.store_down_until {
+                node.plan = None;
                 return;
             }
-            self.nodes[index].plan = Some(self.stored.clone());
+            if node.plan.as_ref().is_some_and(|(_, version)| *version != self.stored.1) {
+                node.formation.forget_progress();
+            }
+            node.plan = Some(self.stored.clone());
+            node.confirmed = now;
         }
         let Some((plan, version)) = self.nodes[index].plan.clone() else { return };
         let view = View {
--- a/crates/serving/src/desk.rs
+++ b/crates/serving/src/desk.rs
@@ -353,7 +353,7 @@
     ) -> bool {
         let now = self.clock.now();
         let leaves = attempts.may_leave()
-            && self.tables.placing.lock().loads.is_stalled(now, target.key)
+            && self.tables.should_leave(now, &job.kind, target, attempts.tried())
             && self.take_repeat(job);
         if leaves {
             let _ = self.metrics.count("streams.stalled", 1);
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Whether an upstream that nothing speaks against has room.
+    pub fn has_room(&self, now: Instant, targets: &[Arc<Target>], tried: &[InstanceId]) -> bool {
+        targets
+            .iter()
+            .filter(|t| !tried.contains(&t.instance) && self.is_sound(now, t))
+            .any(|t| self.score(t, "").is_some())
+    }
+
     /// Expected wait at an upstream in requests per slot; nothing when it is full.
     fn score(&self, target: &Target, data_centre: &str) -> Option<f64> {
         let in_flight = self.in_flight(target.key);
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -175,6 +175,21 @@
         }
     }
 
+    /// Whether the streams of an upstream stand still while another one has room.
+    pub fn should_leave(
+        &self,
+        now: Instant,
+        kind: &TargetKind,
+        target: &Target,
+        tried: &[InstanceId],
+    ) -> bool {
+        let targets = Arc::clone(self.directory.lock().targets());
+        let targets = targets.get(kind).map_or(&[][..], |t| t.as_slice());
+        let placing = self.placing.lock();
+        // An upstream that stalls is not sound, so it is not taken for the other one.
+        placing.loads.is_stalled(now, target.key) && placing.loads.has_room(now, targets, tried)
+    }
+
     /// Gives up waiting.
     pub fn withdraw(&self, kind: &TargetKind, ticket: Ticket) {
         if let Some(queue) = self.queues.lock().get_mut(kind) {
