Let the late wait only behind what the others leave, and those that come back before them

Change: a request that can't be on time counts the late ones before it, at the rate at which late ones went lately; among the late, those that come back go first.

--- a/crates/serving/src/desk.rs
+++ b/crates/serving/src/desk.rs
@@ -40,6 +40,9 @@
 /// Least time before a refused caller should come again.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Time that must have gone by for a request to count as one that came back.
+const RETURNED_AFTER: Duration = Duration::from_millis(100);
+
 /// How often a request that waits for bytes checks whether its upstream stands still.
 pub(crate) const STALL_CHECK: Duration = Duration::from_millis(150);
 
@@ -262,10 +265,14 @@
     /// Takes a place at an upstream, after a wait if need be.
     pub(crate) async fn place(&self, job: &Job, attempts: &Attempts) -> Result<Permit, Refusal> {
         let now = self.clock.now();
+        let elapsed = job.elapsed_before();
+        let returned = elapsed > RETURNED_AFTER;
+        let first_came = job.request.arrived.checked_sub(elapsed).unwrap_or(job.request.arrived);
         let terms = WaitTerms {
             urgency: job.urgency(),
-            on_time_until: job.first_came() + job.route.objective,
-            give_up_at: give_up_at(now, job.deadline),
+            returned,
+            on_time_until: first_came + job.route.objective,
+            give_up_at: give_up_at(now, job.deadline, returned),
         };
         let tried = attempts.tried();
         let placed = self.tables.place(now, &job.kind, terms, tried, &self.data_centre);
@@ -603,12 +610,11 @@
         self.account.as_ref().and_then(|a| a.urgency).unwrap_or(self.route.urgency)
     }
 
-    /// When the caller asked for the first time: one that comes back has less patience left than
-    /// the route allows.
-    fn first_came(&self) -> Instant {
+    /// Time since the caller asked first: one that comes back has less patience left than the
+    /// route allows.
+    fn elapsed_before(&self) -> Duration {
         let timeout = self.route.timeout;
-        let elapsed = timeout.saturating_sub(self.request.patience.unwrap_or(timeout));
-        self.request.arrived.checked_sub(elapsed).unwrap_or(self.request.arrived)
+        timeout.saturating_sub(self.request.patience.unwrap_or(timeout))
     }
 
     fn dispatch(&self, resume_after: Option<EventPosition>) -> Dispatch {
--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -14,6 +14,12 @@
 /// Part of a caller's patience that a request waits at most.
 const MAX_WAIT_SHARE: f64 = 0.25;
 
+/// The same for a request that was refused before, since its caller will not come again.
+const RETURNED_WAIT_SHARE: f64 = 0.25;
+
+/// Late requests a second that an upstream kind is expected to take at least.
+const MIN_LATE_RATE: f64 = 0.5;
+
 /// Window over which the rate of grants is counted.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 
@@ -28,6 +34,8 @@
 pub struct WaitTerms {
     /// Rank; 0 goes first.
     pub urgency: u8,
+    /// Whether it was refused before.
+    pub returned: bool,
     /// Until when it has to go to be on time.
     pub on_time_until: Instant,
     /// When it is refused.
@@ -35,8 +43,9 @@
 }
 
 /// Latest time at which a request that comes now is still worth sending.
-pub fn give_up_at(now: Instant, deadline: Instant) -> Instant {
-    now + deadline.saturating_duration_since(now).mul_f64(MAX_WAIT_SHARE)
+pub fn give_up_at(now: Instant, deadline: Instant, returned: bool) -> Instant {
+    let share = if returned { RETURNED_WAIT_SHARE } else { MAX_WAIT_SHARE };
+    now + deadline.saturating_duration_since(now).mul_f64(share)
 }
 
 /// Whether a request may wait.
@@ -58,7 +67,8 @@
 pub struct Queue<T> {
     waiting: BTreeMap<Ticket, (WaitTerms, T)>,
     next: Ticket,
-    grants: VecDeque<Instant>,
+    /// When requests went, and whether they were late then.
+    grants: VecDeque<(Instant, bool)>,
 }
 
 impl<T> Default for Queue<T> {
@@ -82,9 +92,9 @@
     }
 
     /// Notes that a request went to an upstream.
-    pub fn granted(&mut self, now: Instant) {
-        self.grants.push_back(now);
-        while self.grants.front().is_some_and(|at| now >= *at + RATE_WINDOW) {
+    pub fn granted(&mut self, now: Instant, terms: &WaitTerms) {
+        self.grants.push_back((now, is_late(now, terms)));
+        while self.grants.front().is_some_and(|(at, _)| now >= *at + RATE_WINDOW) {
             self.grants.pop_front();
         }
     }
@@ -101,15 +111,29 @@
         Admission::Waits
     }
 
+    /// Time until a request goes: behind those that can be on time, and if it can't be on time
+    /// itself, behind the late ones before it, which get only what the others leave.
     fn expected_wait(&self, now: Instant, terms: &WaitTerms) -> Duration {
         let rank = order(now, terms);
-        let ahead = self.waiting.values().filter(|(t, _)| order(now, t) <= rank).count();
-        let recent = self.grants.iter().filter(|at| now < **at + RATE_WINDOW).count();
-        let per_second = recent as f64 / RATE_WINDOW.as_secs_f64();
-        if ahead == 0 || per_second <= 0.0 {
-            return Duration::ZERO;
+        let (mut on_time, mut late) = (0, 0);
+        for (other, _) in self.waiting.values() {
+            if is_late(now, other) {
+                late += usize::from(!is_late(now, terms) || order(now, other) <= rank);
+            } else {
+                on_time += usize::from(order(now, other) <= rank);
+            }
+        }
+        let wait = time_for(on_time, self.rate(now, |_| true));
+        if now + wait <= terms.on_time_until || late == 0 {
+            return wait;
         }
-        Duration::from_secs_f64(ahead as f64 / per_second)
+        wait + time_for(late, self.rate(now, |late| late).max(MIN_LATE_RATE))
+    }
+
+    /// Requests that went in a second lately.
+    fn rate(&self, now: Instant, counts: impl Fn(bool) -> bool) -> f64 {
+        let recent = |(at, late): &&(Instant, bool)| now < *at + RATE_WINDOW && counts(*late);
+        self.grants.iter().filter(recent).count() as f64 / RATE_WINDOW.as_secs_f64()
     }
 
     /// Adds a request.
@@ -126,14 +150,30 @@
     }
 
     /// The request that goes next.
-    pub fn first(&self, now: Instant) -> Option<(Ticket, &T)> {
+    pub fn first(&self, now: Instant) -> Option<(Ticket, WaitTerms, &T)> {
         let first = self.waiting.iter().min_by_key(|(ticket, (t, _))| (order(now, t), **ticket));
-        first.map(|(ticket, (_, request))| (*ticket, request))
+        first.map(|(ticket, (terms, request))| (*ticket, *terms, request))
     }
 }
 
-/// Those that can be on time first, by rank and by how soon they must go; then the late ones.
-fn order(now: Instant, terms: &WaitTerms) -> (bool, u8, Instant) {
-    let late = now > terms.on_time_until;
-    (late, terms.urgency, if late { terms.give_up_at } else { terms.on_time_until })
+fn is_late(now: Instant, terms: &WaitTerms) -> bool {
+    now > terms.on_time_until
+}
+
+/// Time in which so many go; none at all when nothing is known of the rate.
+fn time_for(count: usize, per_second: f64) -> Duration {
+    if count == 0 || per_second <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(count as f64 / per_second)
+}
+
+/// Those that can be on time first, by rank and by how soon they must go; then the late ones,
+/// first those that will not come again.
+fn order(now: Instant, terms: &WaitTerms) -> (bool, bool, u8, Instant) {
+    if is_late(now, terms) {
+        (true, !terms.returned, terms.urgency, terms.give_up_at)
+    } else {
+        (false, false, terms.urgency, terms.on_time_until)
+    }
 }
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -157,7 +157,7 @@
             match loads.pick(now, targets, tried, data_centre, rng) {
                 Pick::Place(target) => {
                     loads.take(now, &target);
-                    queue.granted(now);
+                    queue.granted(now, &terms);
                     return Place::Granted(target);
                 }
                 Pick::Nowhere if !tried.is_empty() => return Place::None,
@@ -216,7 +216,7 @@
         let mut queues = self.queues.lock();
         let Some(queue) = queues.get_mut(kind) else { return };
         let Placing { loads, rng } = &mut *placing;
-        while let Some((ticket, waiter)) = queue.first(now) {
+        while let Some((ticket, terms, waiter)) = queue.first(now) {
             let pick = loads.pick(now, targets, &waiter.tried, "", rng);
             let Pick::Place(target) = pick else { return };
             let Some(waiter) = queue.remove(ticket) else { return };
@@ -225,7 +225,7 @@
                 loads.give(now, target.key, crate::load::Verdict::Neutral);
                 continue;
             }
-            queue.granted(now);
+            queue.granted(now, &terms);
         }
     }
 }
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -73,6 +73,7 @@
     let mut queue = Queue::default();
     let terms = |urgency, on_time, give_up| WaitTerms {
         urgency,
+        returned: false,
         on_time_until: now + ms(on_time),
         give_up_at: now + ms(give_up),
     };
@@ -80,7 +81,7 @@
     queue.push(terms(1, 300, 900), "on time, second rank");
     queue.push(terms(0, 400, 900), "on time, urgent");
     let mut order = Vec::new();
-    while let Some((ticket, name)) = queue.first(now + ms(100)) {
+    while let Some((ticket, _, name)) = queue.first(now + ms(100)) {
         order.push(*name);
         queue.remove(ticket);
     }
@@ -91,9 +92,14 @@
 fn a_request_that_would_outwait_its_bound_is_refused_when_it_comes() {
     let now = Instant::now();
     let mut queue = Queue::default();
-    let terms = WaitTerms { urgency: 0, on_time_until: now + ms(200), give_up_at: now + ms(1_000) };
+    let terms = WaitTerms {
+        urgency: 0,
+        returned: false,
+        on_time_until: now + ms(200),
+        give_up_at: now + ms(1_000),
+    };
     for at in 0..20 {
-        queue.granted(now + ms(at));
+        queue.granted(now + ms(at), &terms);
     }
     let mut waits = 0;
     while queue.admit(now + ms(20), &terms) == Admission::Waits {
