--- a/crates/groups/src/formation/choice.rs
+++ b/crates/groups/src/formation/choice.rs
@@ -115,7 +115,7 @@
                 && stray.phase != Phase::Broken
             {
                 let order = Order::Leave { group: stray.group.clone(), epoch: stray.epoch };
-                if !self.was_obeyed(id, &order) {
+                if !self.was_obeyed(now, id, &order) {
                     self.give(now, id, engine, order, steps);
                     continue;
                 }
@@ -208,7 +208,7 @@
     }
 
     /// The scarcest group that free instances could form after loads, in a domain that prefers
-    /// its model or can't form a group of the model that it prefers.
+    /// its model, or can't form a group of the model that it prefers and that is not as scarce.
     fn loadable<'a>(
         &self,
         view: &View,
@@ -221,7 +221,9 @@
             for (domain, free) in domains {
                 let Some(preferred) = preferences.get(*domain) else { continue };
                 let fits_preferred = free.len() >= profiles[preferred].size;
-                if *preferred != model && fits_preferred {
+                let is_scarcer =
+                    relative(&model, profiles, supply) < relative(preferred, profiles, supply);
+                if *preferred != model && (fits_preferred || !is_scarcer) {
                     continue;
                 }
                 if let Some(members) = self.loadable_in(view, &model, profiles[&model].size, free) {
@@ -284,13 +286,15 @@
     supply
 }
 
+/// Instances for a model's share of the work.
+fn relative(model: &ModelId, profiles: &Profiles, supply: &Supply) -> f64 {
+    let instances = supply.get(model).copied().unwrap_or(0) as f64;
+    instances / profiles[model].share.max(f64::MIN_POSITIVE)
+}
+
 /// Models, the one with the fewest instances for its share of the work first.
 fn by_need(profiles: &Profiles, supply: &Supply) -> Vec<ModelId> {
-    let relative = |model: &ModelId| {
-        let instances = supply.get(model).copied().unwrap_or(0) as f64;
-        instances / profiles[model].share.max(f64::MIN_POSITIVE)
-    };
     let mut models: Vec<ModelId> = profiles.keys().cloned().collect();
-    models.sort_by(|a, b| relative(a).total_cmp(&relative(b)));
+    models.sort_by(|a, b| relative(a, profiles, supply).total_cmp(&relative(b, profiles, supply)));
     models
 }
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -28,6 +28,9 @@
 /// Time after which an order that was accepted but shows no effect is given again.
 const EFFECT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time within which an entry shows what an order has changed.
+const ENTRY_LAG: Duration = Duration::from_millis(600);
+
 /// How a model is served.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ModelProfile {
@@ -343,10 +346,15 @@
         phase == Some(Phase::Broken) || group.members.iter().any(is_lost)
     }
 
-    /// Whether an instance answered lately that an order holds, or does not concern it.
-    fn was_obeyed(&self, id: &InstanceId, order: &Order) -> bool {
+    /// Whether an instance has just answered that an order holds, or does not concern it.
+    ///
+    /// Only for as long as its entry may be older than the answer: a late order may undo it.
+    fn was_obeyed(&self, now: Instant, id: &InstanceId, order: &Order) -> bool {
         let given = self.given.get(&(id.clone(), order.clone()));
-        given.and_then(|g| g.result).is_some_and(|result| result != OrderResult::Unanswered)
+        given
+            .filter(|g| now < g.at + ENTRY_LAG)
+            .and_then(|g| g.result)
+            .is_some_and(|result| result != OrderResult::Unanswered)
     }
 
     /// Gives an order unless it was given a short time ago.
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -308,25 +308,43 @@
     }
 }
 
+/// Plays a history, prints its end if something is wrong, and gives what is.
+fn play(seed: u64) -> Vec<String> {
+    let mut world = World::new(seed);
+    world.play();
+    let mut wrong = world.fabric.broken_rules.clone();
+    if wrong.is_empty() {
+        wrong.extend(world.unserved());
+    }
+    wrong.extend(world.too_many_loads().map(|n| format!("CEILING: {n} loads in 5 s")));
+    if !wrong.is_empty() {
+        let trace = &world.fabric.trace;
+        let from = trace.len().saturating_sub(60);
+        println!("seed {seed}: {wrong:?}\n{}", trace[from..].join("\n"));
+    }
+    wrong
+}
+
+/// Seeds whose histories once failed: a head brought back by late orders, two nodes in charge,
+/// a load that a late order had overwritten, an answer that outlived what it said.
+const SEEDS_THAT_FAILED: [u64; 15] =
+    [34, 36, 38, 51, 52, 1351, 1524, 3166, 3778, 4540, 5195, 5517, 6133, 7444, 8237];
+
+#[rstest]
+fn seeds_that_failed_once_hold() {
+    for seed in SEEDS_THAT_FAILED {
+        assert_eq!(play(seed), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[rstest]
 fn no_history_breaks_a_rule_and_all_that_can_serve_does() {
     let count = env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
     let first = env::var("FIRST_SEED").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
     let mut failed = Vec::new();
     for seed in first..first + count.unwrap_or(DEFAULT_HISTORIES) {
-        let mut world = World::new(seed);
-        world.play();
-        let mut wrong = world.fabric.broken_rules.clone();
-        if wrong.is_empty() {
-            wrong.extend(world.unserved());
-        }
-        wrong.extend(world.too_many_loads().map(|n| format!("CEILING: {n} loads in 5 s")));
+        let wrong = play(seed);
         if !wrong.is_empty() {
-            if failed.is_empty() {
-                let trace = &world.fabric.trace;
-                let from = trace.len().saturating_sub(60);
-                println!("seed {seed}: {wrong:?}\n{}", trace[from..].join("\n"));
-            }
             failed.push((seed, wrong));
         }
     }
