--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -38,8 +38,6 @@
     pub size: usize,
     /// Share of the work that it is expected to be.
     pub share: f64,
-    /// Factor on all times of a group.
-    pub pace: f64,
     /// Time to load the weights when the store is not busy.
     pub load: Duration,
 }
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -75,8 +75,8 @@
 }
 
 fn models() -> Models {
-    let large = ModelProfile { size: 4, share: 0.5, pace: 1.0, load: LOAD };
-    let small = ModelProfile { size: 2, share: 0.5, pace: 0.6, load: LOAD };
+    let large = ModelProfile { size: 4, share: 0.5, load: LOAD };
+    let small = ModelProfile { size: 2, share: 0.5, load: LOAD };
     let by_name = BTreeMap::from([("large".to_owned(), large), ("small".to_owned(), small)]);
     BTreeMap::from([("models".to_owned(), by_name)])
 }
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -34,8 +34,6 @@
     pub timeout: Duration,
     /// Time to the (first) answer that callers want.
     pub objective: Duration,
-    /// Longest pause between events for which a stream is on time.
-    pub pause: Option<Duration>,
     /// Rank; 0 is the most urgent.
     pub urgency: u8,
     /// Services that share the route's requests by weight.
@@ -66,19 +64,11 @@
     }
 }
 
-/// Speed and size of a service's engines.
+/// What a service's engines are.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineProfile {
-    /// Requests that an upstream runs at once.
-    pub slots: u32,
     /// Models, each with the group that serves it.
     pub models: BTreeMap<ModelId, ModelProfile>,
-    /// Time of a token step with nothing else to do.
-    pub step: Duration,
-    /// Added to a step for each request that generates.
-    pub step_per_request: Duration,
-    /// Prompt tokens read in a second.
-    pub read_per_second: f64,
     /// Loads of weights that may begin in a second.
     pub loads_per_second: f64,
     /// Loads that run at full speed at the same time.
@@ -90,8 +80,6 @@
 pub struct Service {
     /// Name.
     pub id: ServiceId,
-    /// Connections that one upstream takes from all nodes.
-    pub max_connections: u32,
     /// Engines, for a service that runs models.
     pub engine: Option<EngineProfile>,
 }
@@ -112,8 +100,6 @@
     pub max_head: usize,
     /// Bytes of a body.
     pub max_body: usize,
-    /// Time for a whole head.
-    pub head_timeout: Duration,
     /// Time that a connection may stay idle.
     pub idle_timeout: Duration,
 }
--- a/crates/serving/src/control.rs
+++ b/crates/serving/src/control.rs
@@ -4,6 +4,7 @@
     crate::{
         beats::Identity,
         borders::{Instances, OrderAnswer, PlanError, PlanStore},
+        directory::key_of,
         tables::Tables,
     },
     std::{
@@ -269,10 +270,8 @@
             let mut placing = self.tables.placing.lock();
             let suspects = placing.loads.suspects(now);
             let heads = plan.groups.values().filter_map(|g| g.head());
-            let moving: BTreeSet<InstanceId> = heads
-                .filter(|id| placing.loads.moved_recently(now, crate::directory::key_of(id)))
-                .cloned()
-                .collect();
+            let moving: BTreeSet<InstanceId> =
+                heads.filter(|id| placing.loads.moved_recently(now, key_of(id))).cloned().collect();
             (suspects, moving)
         };
         self.probe(work, now, plan, &suspects);
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -8,9 +8,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    turmerictack_model::ids::{
-        AccountId, ApiKey, EventPosition, ModelId, RequestId, ServiceId, Tokens,
-    },
+    turmerictack_model::ids::{AccountId, ApiKey, EventPosition, ModelId, RequestId, ServiceId},
 };
 
 /// Request as the front end took it; decisions don't look into it.
@@ -26,15 +24,6 @@
     pub body: Bytes,
 }
 
-/// Size of a generation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Size {
-    /// Prompt tokens.
-    pub prompt: Tokens,
-    /// Tokens that may be generated.
-    pub answer: Tokens,
-}
-
 /// A request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -52,8 +41,6 @@
     pub model: Option<ModelId>,
     /// Last event that the caller has of an earlier stream.
     pub resume_after: Option<EventPosition>,
-    /// Size, for a model.
-    pub size: Size,
     /// When its head had arrived.
     pub arrived: Instant,
     /// What the upstream gets.
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -4,14 +4,15 @@
     crate::{
         catalog::Catalog,
         directory::{Directory, Target, TargetKind},
-        load::{Loads, Pick},
+        load::{Loads, Pick, Verdict},
         membership::Members,
-        queue::{Queues, Ticket, WaitTerms},
+        queue::{Admission, Queues, Ticket, WaitTerms},
         repeats::{RepeatLimits, Repeats},
     },
     rand::SeedableRng as _,
     rand_pcg::Pcg64Mcg,
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -125,8 +126,7 @@
         directory.rebuild(&catalog);
         let targets = Arc::clone(directory.targets());
         let mut placing = self.placing.lock();
-        let keys: std::collections::BTreeSet<_> =
-            targets.values().flatten().map(|t| t.key).collect();
+        let keys: BTreeSet<_> = targets.values().flatten().map(|t| t.key).collect();
         placing.loads.retain(&|key| keys.contains(&key));
         drop(placing);
         drop(directory);
@@ -165,13 +165,13 @@
             }
         }
         match queue.admit(now, &terms) {
-            crate::queue::Admission::Waits => {
+            Admission::Waits => {
                 let (grant, granted) = oneshot::channel();
                 let ticket = queue.push(terms, Waiter { tried: tried.to_vec(), grant });
                 Place::Waiting(ticket, granted)
             }
-            crate::queue::Admission::TooLong { wait } => Place::TooLong(wait),
-            crate::queue::Admission::Full => Place::None,
+            Admission::TooLong { wait } => Place::TooLong(wait),
+            Admission::Full => Place::None,
         }
     }
 
@@ -222,7 +222,7 @@
             let Some(waiter) = queue.remove(ticket) else { return };
             loads.take(now, &target);
             if let Err(target) = waiter.grant.send(target) {
-                loads.give(now, target.key, crate::load::Verdict::Neutral);
+                loads.give(now, target.key, Verdict::Neutral);
                 continue;
             }
             queue.granted(now, &terms);
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -23,7 +23,7 @@
         desk::Desk,
         directory::{EngineState, Instance},
         repeats::RepeatLimits,
-        request::{Dispatch, Head, Parcel, Request, Size},
+        request::{Dispatch, Head, Parcel, Request},
         tables::Tables,
     },
     turmerictack_telemetry::registry::Registry,
@@ -158,7 +158,6 @@
         streams,
         timeout: Duration::from_secs(4),
         objective: Duration::from_millis(250),
-        pause: Some(Duration::from_millis(200)),
         urgency: 0,
         services: vec![(service.to_owned(), 1)],
         max_attempts: if repeat == Repeat::Forbidden { 1 } else { 2 },
@@ -167,27 +166,19 @@
 }
 
 pub fn catalog(revision: u64) -> Catalog {
-    let profile = ModelProfile { size: 1, share: 1.0, pace: 1.0, load: Duration::from_secs(12) };
+    let profile = ModelProfile { size: 1, share: 1.0, load: Duration::from_secs(12) };
     let engine = EngineProfile {
-        slots: 2,
         models: BTreeMap::from([("m".to_owned(), profile)]),
-        step: Duration::from_millis(8),
-        step_per_request: Duration::ZERO,
-        read_per_second: 45_000.0,
         loads_per_second: 5.0,
         loads_at_once: 7,
     };
     let services = vec![
-        Service { id: "models".to_owned(), max_connections: 100, engine: Some(engine) },
-        Service { id: "bookings".to_owned(), max_connections: 100, engine: None },
+        Service { id: "models".to_owned(), engine: Some(engine) },
+        Service { id: "bookings".to_owned(), engine: None },
     ];
     let account = Account { id: "guild".to_owned(), urgency: None };
-    let limits = Limits {
-        max_head: 16_384,
-        max_body: 1_000_000,
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
+    let limits =
+        Limits { max_head: 16_384, max_body: 1_000_000, idle_timeout: Duration::from_secs(15) };
     Catalog::new(
         revision,
         vec![
@@ -263,7 +254,6 @@
         patience: Some(Duration::from_secs(4)),
         model: Some("m".to_owned()),
         resume_after: None,
-        size: Size { prompt: 100, answer: 100 },
         arrived: Instant::now(),
         parcel: Arc::new(Parcel {
             method: Method::POST,
