--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,11 +9,9 @@
     std::{net::UdpSocket, time::Duration},
     turmerictack_model::{ids::Address, outcome::Failure, rank::Rank},
     turmerictack_report::status::ServiceStatus,
+    turmerictack_telemetry::registry::PREFIX,
 };
 
-/// Prefix of the names of all metrics.
-const PREFIX: &str = "turmerictack";
-
 /// Opens a client for the address, or one that drops everything.
 ///
 /// # Errors
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -159,11 +159,6 @@
         routes.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
-    /// Routes of all hosts.
-    pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.routes.values().flatten()
-    }
-
     /// Whether a request with this key may use a route.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
         let account = key.and_then(|k| self.accounts.get(k));
--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -86,11 +86,6 @@
         self.waiting.is_empty()
     }
 
-    /// Requests that wait.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Notes that a request went to an upstream.
     pub fn granted(&mut self, now: Instant, terms: &WaitTerms) {
         self.grants.push_back((now, is_late(now, terms)));
