Dissolve a group whose members had left before another node took charge

Cause: a node that takes charge forgets the progress of groups that are being dissolved. Where the head was gone and the other members had left already, it gave no order, heard no answer, and so never came to know that the head must have noticed: the group stayed in the plan for good and held its other members, up to three instances with the weights loaded. Ruled out: slow closing (finishes within 4 s) and instances that are silent (they answered). Test: formation_histories now asks that no group is still being dissolved once all is calm: 50 of 300 histories failed before, 0 of 3,000 after, no rule broken. Change: a member that answers and belongs to no group shows that the group is incomplete.

--- a/crates/groups/src/formation/retire.rs
+++ b/crates/groups/src/formation/retire.rs
@@ -87,7 +87,14 @@
         steps: &mut Steps,
     ) {
         let Some(head) = group.head() else { return };
-        let since = self.retiring.entry(name.clone()).or_insert_with(|| Retirement::new(now)).since;
+        let retirement = self.retiring.entry(name.clone()).or_insert_with(|| Retirement::new(now));
+        let since = retirement.since;
+        // A node that takes over gets no answer from members that left before it did.
+        let is_outside =
+            |id: &InstanceId| view.live(id).is_some_and(|e| member_phase(e, name, group).is_none());
+        if group.members.iter().any(is_outside) {
+            retirement.incomplete_since.get_or_insert(now);
+        }
         let (epoch, group_name) = (group.epoch, name.clone());
         let phase = view.live(head).and_then(|e| member_phase(e, name, group));
         let all_work = group
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -296,6 +296,16 @@
                 wrong.push(format!("{name} does not serve: {phase:?}"));
             }
         }
+        for (name, group) in self.stored.0.groups.iter().filter(|(_, g)| g.retiring) {
+            let held = group
+                .members
+                .iter()
+                .filter(|m| self.fabric.engines.get(*m).is_some_and(|e| e.is_up() && !e.leaving))
+                .count();
+            if held > 0 {
+                wrong.push(format!("{name} is never dissolved and holds {held} instances"));
+            }
+        }
         wrong
     }
 
