Keep who is in charge of the groups, and remember departures on every node

Change: a node in charge stays so while it is fit, and says so in its beats (version 2); of two, the first by rank keeps it. Every node notes when it sees a member outside its group, so that a new one in charge counts from then.

--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -5,10 +5,11 @@
 //! has left it, is gone, or must have noticed a missing member by itself.
 
 mod choice;
+mod departures;
 mod loads;
 mod retire;
 
-pub use self::loads::LoadLimits;
+pub use self::{departures::Departures, loads::LoadLimits};
 
 use {
     self::{loads::Loads, retire::Retirement},
@@ -155,6 +156,8 @@
     pub unreachable: BTreeSet<InstanceId>,
     /// Heads whose streams moved in the last second.
     pub progressing: BTreeSet<InstanceId>,
+    /// Since when groups have lacked a member, as this node has seen it.
+    pub incomplete: BTreeMap<GroupId, Instant>,
 }
 
 impl View {
--- a/crates/groups/src/formation/retire.rs
+++ b/crates/groups/src/formation/retire.rs
@@ -92,7 +92,10 @@
         // A node that takes over gets no answer from members that left before it did.
         let is_outside =
             |id: &InstanceId| view.live(id).is_some_and(|e| member_phase(e, name, group).is_none());
-        if group.members.iter().any(is_outside) {
+        if let Some(at) = view.incomplete.get(name) {
+            let since = retirement.incomplete_since.get_or_insert(*at);
+            *since = (*since).min(*at);
+        } else if group.members.iter().any(is_outside) {
             retirement.incomplete_since.get_or_insert(now);
         }
         let (epoch, group_name) = (group.epoch, name.clone());
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -15,8 +15,8 @@
     },
     turmerictack_groups::{
         formation::{
-            EngineInstance, Formation, LoadLimits, ModelProfile, Models, Order, OrderResult, Phase,
-            View,
+            Departures, EngineInstance, Formation, LoadLimits, ModelProfile, Models, Order,
+            OrderResult, Phase, View,
         },
         plan::Plan,
     },
@@ -35,6 +35,7 @@
 /// A node that may be in charge.
 struct Node {
     formation: Formation,
+    departures: Departures,
     plan: Option<(Plan, Version)>,
     view: BTreeMap<InstanceId, EngineInstance>,
     answers: Vec<(InstanceId, Order, OrderResult)>,
@@ -49,6 +50,7 @@
     fn new() -> Self {
         Self {
             formation: Formation::new(STALL, LIMITS),
+            departures: Departures::default(),
             plan: None,
             view: BTreeMap::new(),
             answers: Vec::new(),
@@ -191,20 +193,31 @@
         result
     }
 
+    /// Lets a node read the store, whether it is in charge or not.
+    fn read_store(&mut self, index: usize) {
+        let now = self.fabric.now;
+        if now < self.nodes[index].frozen_until || now < self.store_down_until {
+            return;
+        }
+        // A node that thaws acts once on the view that it froze with.
+        let fresh = self.fabric.listed();
+        let node = &mut self.nodes[index];
+        let stale = std::mem::replace(&mut node.view, fresh);
+        if now < node.frozen_until + STEP {
+            node.view = stale;
+        }
+        for (id, engine) in &node.view {
+            let group = engine.membership.as_ref().map(|m| &m.group);
+            node.departures.observe(self.origin + now, id, engine.started, group);
+        }
+    }
+
     fn run_node(&mut self, index: usize) {
         let now = self.fabric.now;
         let instant = self.origin + now;
         if now < self.nodes[index].frozen_until {
             return;
         }
-        if now >= self.store_down_until {
-            // A node that thaws acts once on the view that it froze with.
-            let fresh = self.fabric.listed();
-            let stale = std::mem::replace(&mut self.nodes[index].view, fresh);
-            if now < self.nodes[index].frozen_until + STEP {
-                self.nodes[index].view = stale;
-            }
-        }
         let answers = std::mem::take(&mut self.nodes[index].answers);
         for (id, order, result) in answers {
             self.nodes[index].formation.answered(instant, &id, &order, result);
@@ -226,6 +239,7 @@
             engines: self.nodes[index].view.clone(),
             unreachable: BTreeSet::new(),
             progressing: BTreeSet::new(),
+            incomplete: self.nodes[index].departures.by_group(),
         };
         let steps = self.nodes[index].formation.step(instant, &models(), &view, &plan);
         for (id, _, order) in steps.orders {
@@ -246,6 +260,8 @@
 
     fn step(&mut self) {
         self.fabric.advance(STEP);
+        self.read_store(0);
+        self.read_store(1);
         self.run_node(0);
         if self.fabric.now < self.second_until {
             self.run_node(1);
--- a/crates/protocol/src/beat.rs
+++ b/crates/protocol/src/beat.rs
@@ -8,7 +8,7 @@
 };
 
 /// Version of the datagram; others are dropped.
-pub const BEAT_VERSION: u16 = 1;
+pub const BEAT_VERSION: u16 = 2;
 
 /// Short name of an upstream: a hash, since a beat names dozens.
 pub type UpstreamKey = u32;
@@ -50,6 +50,8 @@
     pub has_fresh_view: bool,
     /// Whether the sender is about to stop.
     pub leaving: bool,
+    /// Whether the sender is in charge of the groups.
+    pub in_charge: bool,
     /// Load by upstream.
     pub loads: Vec<BeatLoad>,
     /// Instances that the sender found silent.
--- a/crates/serving/src/beats.rs
+++ b/crates/serving/src/beats.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         borders::{NodeList, PeerChannel},
+        membership::Standing,
         tables::Tables,
     },
     std::{
@@ -92,7 +93,10 @@
         };
         let strikes = self.tables.quarantine.lock().news();
         let has_fresh_view = self.tables.has_fresh_view(now);
-        let leaving = self.tables.lifecycle.lock().leaving;
+        let (leaving, in_charge) = {
+            let lifecycle = self.tables.lifecycle.lock();
+            (lifecycle.leaving, lifecycle.in_charge)
+        };
         Beat {
             version: BEAT_VERSION,
             node: self.identity.node.clone(),
@@ -100,6 +104,7 @@
             incarnation: self.identity.incarnation,
             has_fresh_view,
             leaving,
+            in_charge,
             loads,
             silent,
             strikes: strikes
@@ -125,12 +130,13 @@
         }
         let now = self.clock.now();
         let eligible = beat.has_fresh_view && !beat.leaving;
+        let standing = Standing { eligible, in_charge: beat.in_charge };
         self.tables.members.lock().heard(
             now,
             &beat.node,
             &beat.address,
             beat.incarnation,
-            eligible,
+            standing,
         );
         {
             let mut placing = self.tables.placing.lock();
--- a/crates/serving/src/control.rs
+++ b/crates/serving/src/control.rs
@@ -5,6 +5,7 @@
         beats::Identity,
         borders::{Instances, OrderAnswer, PlanError, PlanStore},
         directory::key_of,
+        membership::Standing,
         tables::Tables,
     },
     std::{
@@ -24,7 +25,7 @@
     },
     turmerictack_model::{
         clock::Clock,
-        ids::{Address, InstanceId, Version},
+        ids::{Address, GroupId, InstanceId, Version},
     },
     turmerictack_telemetry::logs,
 };
@@ -80,6 +81,7 @@
     plan: Option<(Plan, Version)>,
     confirmed: Option<Instant>,
     engines: Arc<BTreeMap<InstanceId, EngineInstance>>,
+    incomplete: BTreeMap<GroupId, Instant>,
     seen: u64,
     probes: BTreeMap<InstanceId, Probe>,
     reports: UnboundedSender<Report>,
@@ -106,6 +108,7 @@
             plan: None,
             confirmed: None,
             engines: Arc::default(),
+            incomplete: BTreeMap::new(),
             seen: 0,
             probes: BTreeMap::new(),
             reports,
@@ -116,9 +119,10 @@
         let mut was_in_charge = false;
         loop {
             ticks.tick().await;
-            let in_charge = self.is_in_charge();
+            let in_charge = self.is_in_charge(was_in_charge);
             if in_charge != was_in_charge {
                 was_in_charge = in_charge;
+                self.tables.lifecycle.lock().in_charge = in_charge;
                 work.plan = None;
                 work.formation.forget_progress();
                 logs::event("groups_charge").with("in_charge", in_charge).info();
@@ -130,10 +134,11 @@
         }
     }
 
-    fn is_in_charge(&self) -> bool {
+    fn is_in_charge(&self, in_charge: bool) -> bool {
         let now = self.clock.now();
         let eligible = self.tables.has_fresh_view(now) && !self.tables.lifecycle.lock().leaving;
-        self.tables.members.lock().is_in_charge(now, &self.identity.address, eligible)
+        let own = Standing { eligible, in_charge };
+        self.tables.members.lock().is_in_charge(now, &self.identity.address, own)
     }
 
     fn take_reports(&self, work: &mut Work, reported: &mut UnboundedReceiver<Report>) {
@@ -264,6 +269,7 @@
             if work.seen != directory.version() {
                 work.seen = directory.version();
                 work.engines = Arc::new(directory.engines());
+                work.incomplete = directory.incomplete_groups();
             }
         }
         let (suspects, progressing) = {
@@ -281,7 +287,12 @@
             .filter(|(_, p)| p.missed >= MISSED_PROBES)
             .map(|(id, _)| id.clone())
             .collect();
-        View { engines: work.engines.as_ref().clone(), unreachable, progressing }
+        View {
+            engines: work.engines.as_ref().clone(),
+            unreachable,
+            progressing,
+            incomplete: work.incomplete.clone(),
+        }
     }
 
     /// Asks suspected instances, and all members of their groups, whether they are there.
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -7,7 +7,7 @@
         sync::Arc,
         time::Instant,
     },
-    turmerictack_groups::formation::{EngineInstance, Membership, Phase},
+    turmerictack_groups::formation::{Departures, EngineInstance, Membership, Phase},
     turmerictack_model::{
         digest::hash64,
         ids::{Address, DataCentre, FabricDomain, GroupId, InstanceId, ModelId, ServiceId},
@@ -77,6 +77,7 @@
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
     removals: BTreeMap<InstanceId, Instant>,
+    departures: Departures,
     targets: Arc<Targets>,
     version: u64,
 }
@@ -143,8 +144,18 @@
         due
     }
 
+    /// Since when groups have lacked a member.
+    pub fn incomplete_groups(&self) -> BTreeMap<GroupId, Instant> {
+        self.departures.by_group()
+    }
+
     /// Derives the upstreams anew.
-    pub fn rebuild(&mut self, catalog: &Catalog) {
+    pub fn rebuild(&mut self, now: Instant, catalog: &Catalog) {
+        for (id, instance) in &self.instances {
+            let group = instance.membership().map(|m| &m.group);
+            self.departures.observe(now, id, instance.started, group);
+        }
+        self.departures.expire(now);
         let mut members: BTreeMap<(&GroupId, u64), usize> = BTreeMap::new();
         for instance in self.instances.values() {
             if let Some(m) = instance.membership()
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -22,7 +22,16 @@
     address: Address,
     incarnation: Incarnation,
     heard: Instant,
-    eligible: bool,
+    standing: Standing,
+}
+
+/// What a node says of itself as to the control of groups.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether it could be in charge: it reads the store, and stays.
+    pub eligible: bool,
+    /// Whether it is in charge.
+    pub in_charge: bool,
 }
 
 /// Nodes, by what they say themselves.
@@ -43,12 +52,12 @@
         node: &NodeId,
         address: &Address,
         incarnation: Incarnation,
-        eligible: bool,
+        standing: Standing,
     ) {
         if self.peers.get(node).is_some_and(|p| p.incarnation > incarnation) {
             return;
         }
-        let peer = Peer { address: address.clone(), incarnation, heard: now, eligible };
+        let peer = Peer { address: address.clone(), incarnation, heard: now, standing };
         self.peers.insert(node.clone(), peer);
     }
 
@@ -75,22 +84,38 @@
         1 + self.peers.values().filter(|p| now < p.heard + BEAT_TIMEOUT).count()
     }
 
-    /// Whether this node is in charge of the groups.
-    pub fn is_in_charge(&self, now: Instant, own: &Address, eligible: bool) -> bool {
-        if !eligible || !self.listed.contains_key(own) {
+    /// Whether this node is in charge of the groups; `own` is how it stood until now.
+    ///
+    /// Who is in charge stays so: a change makes the next one wait for what the last one knew.
+    pub fn is_in_charge(&self, now: Instant, address: &Address, own: Standing) -> bool {
+        if !own.eligible || !self.listed.contains_key(address) {
+            return false;
+        }
+        let rivals: Vec<&Peer> = self
+            .peers
+            .values()
+            .filter(|p| p.standing.eligible && now < p.heard + BEAT_TIMEOUT)
+            .filter(|p| p.address != *address)
+            .collect();
+        let holders = rivals.iter().filter(|p| p.standing.in_charge).map(|p| p.address.as_str());
+        if own.in_charge {
+            return is_first(address, holders);
+        }
+        if rivals.iter().any(|p| p.standing.in_charge) {
             return false;
         }
-        let heard = self.peers.values();
-        let alive = heard
-            .filter(|p| p.eligible && now < p.heard + BEAT_TIMEOUT)
-            .map(|p| p.address.as_str());
         let is_unheard = |address: &Address| self.peers.values().all(|p| p.address != *address);
         let starting = self
             .listed
             .iter()
             .filter(|(address, since)| now < **since + LISTED_TIMEOUT && is_unheard(address))
-            .map(|(address, _)| address.as_str());
-        let candidates = alive.chain(starting).filter(|a| a != own).chain([own.as_str()]);
-        owners(CONTROL_KEY, candidates, 1) == [own.as_str()]
+            .map(|(address, _)| address.as_str())
+            .filter(|a| a != address);
+        is_first(address, rivals.iter().map(|p| p.address.as_str()).chain(starting))
     }
 }
+
+/// Whether an address ranks before others for the control of groups.
+fn is_first<'a>(address: &'a str, others: impl Iterator<Item = &'a str>) -> bool {
+    owners(CONTROL_KEY, others.chain([address]), 1) == [address]
+}
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -50,6 +50,8 @@
 pub struct Lifecycle {
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// Whether it is in charge of the groups.
+    pub in_charge: bool,
     /// When the store last answered the question for instances.
     pub instances_read: Option<Instant>,
 }
@@ -123,7 +125,7 @@
     pub fn rebuild(&self, now: Instant) {
         let Some(catalog) = self.catalog() else { return };
         let mut directory = self.directory.lock();
-        directory.rebuild(&catalog);
+        directory.rebuild(now, &catalog);
         let targets = Arc::clone(directory.targets());
         let mut placing = self.placing.lock();
         let keys: BTreeSet<_> = targets.values().flatten().map(|t| t.key).collect();
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -21,7 +21,7 @@
         catalog::Access,
         directory::{Directory, Target, key_of},
         load::{Loads, Pick, UNREACHABLE_PAUSE, Verdict},
-        membership::Members,
+        membership::{Members, Standing},
         queue::{Admission, Queue, WaitTerms},
         repeats::{RepeatLimits, Repeats},
     },
@@ -194,7 +194,7 @@
         m.rank = 1;
     }
     directory.insert("e3".to_owned(), second);
-    directory.rebuild(&catalog(1));
+    directory.rebuild(Instant::now(), &catalog(1));
     let kind = ("models".to_owned(), Some("m".to_owned()));
     let ids: Vec<&str> = directory.targets()[&kind].iter().map(|t| t.instance.as_str()).collect();
     assert_eq!(ids, ["e0"]);
@@ -221,12 +221,14 @@
         let mut members = Members::default();
         members.set_listed(now, addresses.map(str::to_owned).to_vec());
         for other in addresses.iter().filter(|a| **a != own) {
-            members.heard(now, &format!("node {other}"), &(*other).to_owned(), 1, true);
+            let standing = Standing { eligible: true, in_charge: false };
+            members.heard(now, &format!("node {other}"), &(*other).to_owned(), 1, standing);
         }
         members
     };
     let in_charge = |at: Instant, eligible: &dyn Fn(&str) -> bool| -> Vec<&str> {
-        let is = |own: &&str| members_of(own).is_in_charge(at, &(*own).to_owned(), eligible(own));
+        let own = |own: &str| Standing { eligible: eligible(own), in_charge: false };
+        let is = |node: &&str| members_of(node).is_in_charge(at, &(*node).to_owned(), own(node));
         addresses.iter().copied().filter(is).collect()
     };
     let first = in_charge(now, &|_| true);
@@ -237,6 +239,49 @@
     assert_eq!(in_charge(now + ms(2_000), &|_| true).len(), 3);
 }
 
+/// How node `own` of three sees the others, each with how it stands.
+fn members_with(now: Instant, own: &str, others: &[(&str, Standing)]) -> Members {
+    let mut members = Members::default();
+    let mut listed: Vec<String> = others.iter().map(|(a, _)| (*a).to_owned()).collect();
+    listed.push(own.to_owned());
+    members.set_listed(now, listed);
+    for (address, standing) in others {
+        members.heard(now, &format!("node {address}"), &(*address).to_owned(), 1, *standing);
+    }
+    members
+}
+
+#[rstest]
+fn who_is_in_charge_stays_so_when_another_node_starts() {
+    let now = Instant::now();
+    let standing = |in_charge| Standing { eligible: true, in_charge };
+    let nodes = ["10.0.0.1:1", "10.0.0.2:1"];
+    for holder in nodes {
+        for newcomer in nodes.into_iter().filter(|n| *n != holder) {
+            let seen = members_with(now, newcomer, &[(holder, standing(true))]);
+            assert!(!seen.is_in_charge(now, &newcomer.to_owned(), standing(false)));
+            let seen = members_with(now, holder, &[(newcomer, standing(false))]);
+            assert!(seen.is_in_charge(now, &holder.to_owned(), standing(true)));
+            // Once the holder is silent, or can't read the store, the other one follows.
+            let seen = members_with(now, newcomer, &[(holder, standing(true))]);
+            assert!(seen.is_in_charge(now + ms(2_000), &newcomer.to_owned(), standing(false)));
+            let unfit = Standing { eligible: false, in_charge: true };
+            let seen = members_with(now, newcomer, &[(holder, unfit)]);
+            assert!(seen.is_in_charge(now, &newcomer.to_owned(), standing(false)));
+        }
+    }
+}
+
+#[rstest]
+fn of_two_nodes_in_charge_one_gives_it_up() {
+    let now = Instant::now();
+    let both = Standing { eligible: true, in_charge: true };
+    let is = |own: &str, other: &str| {
+        members_with(now, own, &[(other, both)]).is_in_charge(now, &own.to_owned(), both)
+    };
+    assert_ne!(is("10.0.0.1:1", "10.0.0.2:1"), is("10.0.0.2:1", "10.0.0.1:1"));
+}
+
 proptest! {
     /// Whatever the nodes see, all their repeats together stay within the platform's bound.
     #[test]
