Write loads of weights into the plan before they are ordered

Cause: a node that takes charge did not know which instances were loading weights. Change: the plan names the loads that were decided on; they are ordered once it is written, and go from it when the weights are there, the order failed or the instance is gone.

--- a/crates/groups/src/formation/choice.rs
+++ b/crates/groups/src/formation/choice.rs
@@ -8,7 +8,7 @@
     crate::plan::Plan,
     std::{
         collections::{BTreeMap, BTreeSet},
-        time::{Duration, Instant},
+        time::Instant,
     },
     turmerictack_model::ids::{FabricDomain, InstanceId, ModelId, ServiceId},
 };
@@ -55,7 +55,7 @@
                     plan.add(service.clone(), model, members);
                 }
             }
-            self.load(now, view, profiles, &preferences, &mut supply, domains, steps);
+            self.load(now, view, profiles, &preferences, &mut supply, domains, plan);
         }
     }
 
@@ -158,12 +158,12 @@
         preferences: &BTreeMap<Domain, ModelId>,
         supply: &mut Supply,
         mut domains: BTreeMap<&Domain, BTreeSet<InstanceId>>,
-        steps: &mut Steps,
+        plan: &mut Plan,
     ) {
         while let Some((domain, model, members)) =
             self.loadable(view, profiles, preferences, supply, &domains)
         {
-            if !self.load_all(now, view, &model, profiles[&model].load, &members, steps) {
+            if !self.load_all(now, view, &model, &members, plan) {
                 return;
             }
             if let Some(free) = domains.get_mut(&domain) {
@@ -175,22 +175,20 @@
             let Some(model) = preferences.get(domain) else { continue };
             let spares: Vec<InstanceId> =
                 free.into_iter().filter(|id| self.loads.running(id).is_none()).collect();
-            if !self.load_all(now, view, model, profiles[model].load, &spares, steps) {
+            if !self.load_all(now, view, model, &spares, plan) {
                 return;
             }
         }
     }
 
-    #[allow(clippy::too_many_arguments, reason = "the parts of one order")]
-    /// Orders the loads that members lack; `false` when no more may begin now.
+    /// Plans the loads that members lack; `false` when no more may begin now.
     fn load_all(
         &mut self,
         now: Instant,
         view: &View,
         model: &ModelId,
-        length: Duration,
         members: &[InstanceId],
-        steps: &mut Steps,
+        plan: &mut Plan,
     ) -> bool {
         for id in members {
             let Some(engine) = view.engines.get(id) else { continue };
@@ -198,11 +196,9 @@
             if !is_cold || self.loads.running(id) == Some(model) {
                 continue;
             }
-            if !self.loads.begin(now, id, model, length) {
+            if !self.loads.begin(now, id, model, plan) {
                 return false;
             }
-            let order = Order::Stage { model: model.clone() };
-            steps.orders.push((id.clone(), engine.address.clone(), order));
         }
         true
     }
--- a/crates/groups/src/formation/loads.rs
+++ b/crates/groups/src/formation/loads.rs
@@ -1,9 +1,13 @@
 //! Loads of weights: how many may begin, and which are under way.
+//!
+//! They are written into the plan before they are ordered, so that a node that takes charge does
+//! not order them once more and slow all of them down.
 
 use {
-    super::View,
+    super::{EngineInstance, Models, Order, Steps, View},
+    crate::plan::Plan,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         time::{Duration, Instant},
     },
     turmerictack_model::ids::{InstanceId, ModelId},
@@ -27,45 +31,114 @@
     pub at_once: usize,
 }
 
-/// Loads that this node began.
+#[derive(Debug)]
+struct Running {
+    model: ModelId,
+    /// When it began, or this node learnt of it.
+    since: Instant,
+}
+
+/// Planned loads, with what this node knows of them.
 #[derive(Debug)]
 pub(super) struct Loads {
     limits: LoadLimits,
     begun: VecDeque<Instant>,
-    running: BTreeMap<InstanceId, (ModelId, Instant)>,
+    running: BTreeMap<InstanceId, Running>,
+    /// Those of this node that it has yet to order.
+    drafted: BTreeSet<InstanceId>,
+    failed: BTreeSet<InstanceId>,
 }
 
 impl Loads {
     pub(super) fn new(limits: LoadLimits) -> Self {
-        Self { limits, begun: VecDeque::new(), running: BTreeMap::new() }
+        Self {
+            limits,
+            begun: VecDeque::new(),
+            running: BTreeMap::new(),
+            drafted: BTreeSet::new(),
+            failed: BTreeSet::new(),
+        }
     }
 
     pub(super) fn set_limits(&mut self, limits: LoadLimits) {
         self.limits = limits;
     }
 
+    /// Forgets what was planned but may not have been written.
+    pub(super) fn forget_drafts(&mut self) {
+        self.drafted.clear();
+        self.failed.clear();
+    }
+
     /// Model that an instance loads.
     pub(super) fn running(&self, id: &str) -> Option<&ModelId> {
-        self.running.get(id).map(|(model, _)| model)
+        self.running.get(id).map(|r| &r.model)
     }
 
-    pub(super) fn update(&mut self, now: Instant, view: &View) {
-        self.running.retain(|id, (model, until)| {
-            now < *until
-                && view.engines.get(id).is_some_and(|e| !e.staged.contains(model) && !e.leaving)
-        });
+    /// Takes over the loads of the plan.
+    fn take_over(&mut self, now: Instant, plan: &Plan) {
+        self.running.retain(|id, r| plan.loads.get(id) == Some(&r.model));
+        for (id, model) in &plan.loads {
+            if !self.running.contains_key(id) {
+                self.begun.push_back(now);
+                let running = Running { model: model.clone(), since: now };
+                self.running.insert(id.clone(), running);
+            }
+        }
         while self.begun.front().is_some_and(|at| now >= *at + WINDOW) {
             self.begun.pop_front();
         }
     }
 
-    /// Begins a load if the rate allows it.
+    /// Orders loads that the plan has come to hold, and drops from `next` those that are over.
+    pub(super) fn advance(
+        &mut self,
+        now: Instant,
+        models: &Models,
+        view: &View,
+        plan: &Plan,
+        next: &mut Plan,
+        steps: &mut Steps,
+    ) {
+        self.take_over(now, plan);
+        for (id, model) in &plan.loads {
+            let engine = view.engines.get(id).filter(|e| !e.leaving);
+            if self.failed.remove(id) || self.is_over(now, models, engine, id, model) {
+                next.loads.remove(id);
+                self.running.remove(id);
+                self.drafted.remove(id);
+            } else if let Some(engine) = engine
+                && self.drafted.remove(id)
+            {
+                let order = Order::Stage { model: model.clone() };
+                steps.orders.push((id.clone(), engine.address.clone(), order));
+            }
+        }
+    }
+
+    /// Whether a load has ended, or has shown no effect for so long that it must have failed.
+    fn is_over(
+        &self,
+        now: Instant,
+        models: &Models,
+        engine: Option<&EngineInstance>,
+        id: &InstanceId,
+        model: &ModelId,
+    ) -> bool {
+        let Some(engine) = engine else { return true };
+        let profile = models.get(&engine.service).and_then(|m| m.get(model));
+        let Some(profile) = profile else { return true };
+        let since = self.running.get(id).map_or(now, |r| r.since);
+        engine.staged.contains(model) || now >= since + profile.load * LOAD_TIMEOUT_FACTOR
+    }
+
+    /// Plans a load if the rate allows it.
     pub(super) fn begin(
         &mut self,
         now: Instant,
         id: &InstanceId,
         model: &ModelId,
-        length: Duration,
+        plan: &mut Plan,
     ) -> bool {
         let allowed = self.limits.per_second * WINDOW.as_secs_f64();
         let is_busy = self.running.len() >= self.limits.at_once + EXTRA_AT_ONCE;
@@ -73,11 +146,13 @@
             return false;
         }
         self.begun.push_back(now);
-        self.running.insert(id.clone(), (model.clone(), now + length * LOAD_TIMEOUT_FACTOR));
+        self.running.insert(id.clone(), Running { model: model.clone(), since: now });
+        self.drafted.insert(id.clone());
+        plan.loads.insert(id.clone(), model.clone());
         true
     }
 
     pub(super) fn failed(&mut self, id: &InstanceId) {
-        self.running.remove(id);
+        self.failed.insert(id.clone());
     }
 }
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -221,6 +221,7 @@
         self.retiring.clear();
         self.completed.clear();
         self.given.clear();
+        self.loads.forget_drafts();
     }
 
     /// Takes what came of an order.
@@ -260,6 +261,7 @@
                 self.advance(now, view, name, group, &mut steps);
             }
         }
+        self.loads.advance(now, models, view, plan, &mut next, &mut steps);
         self.choose(now, models, view, &mut next, &mut steps);
         if next != *plan {
             steps.replace = Some(next);
@@ -276,7 +278,6 @@
             }
         }
         self.given.retain(|_, g| now < g.at + EFFECT_TIMEOUT * 2);
-        self.loads.update(now, view);
         self.retiring.retain(|name, _| plan.groups.contains_key(name));
         self.completed.retain(|name| plan.groups.contains_key(name));
         if self.addresses.len() > view.engines.len() * 4 {
--- a/crates/groups/src/plan.rs
+++ b/crates/groups/src/plan.rs
@@ -40,6 +40,9 @@
     pub groups: BTreeMap<GroupId, PlannedGroup>,
     /// Highest epoch that was given out.
     pub last_epoch: Epoch,
+    /// Models that hosts were to load, by instance; written before the order.
+    #[serde(default)]
+    pub loads: BTreeMap<InstanceId, ModelId>,
 }
 
 impl Plan {
--- a/crates/groups/tests/handover.rs
+++ b/crates/groups/tests/handover.rs
@@ -3,14 +3,17 @@
 mod fabric;
 
 use {
-    fabric::{Fabric, STALL},
+    fabric::{Fabric, LOAD, STALL},
     rstest::rstest,
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
     },
     turmerictack_groups::{
-        formation::{Departures, Formation, LoadLimits, Order, OrderResult, Steps, View},
+        formation::{
+            Departures, Formation, LoadLimits, ModelProfile, Models, Order, OrderResult, Phase,
+            Steps, View,
+        },
         plan::Plan,
     },
 };
@@ -22,6 +25,10 @@
 /// for the way of the notice, and two steps.
 const MOST: Duration = Duration::from_millis(5_200);
 
+const LIMITS: LoadLimits = LoadLimits { per_second: 5.0, at_once: 7 };
+/// Loads at full speed, and two so that the store never idles.
+const MOST_LOADS: usize = 9;
+
 struct Node {
     formation: Formation,
     departures: Departures,
@@ -30,8 +37,7 @@
 
 impl Node {
     fn new() -> Self {
-        let limits = LoadLimits { per_second: 5.0, at_once: 7 };
-        let formation = Formation::new(STALL, limits);
+        let formation = Formation::new(STALL, LIMITS);
         Self { formation, departures: Departures::default(), answers: Vec::new() }
     }
 
@@ -42,7 +48,13 @@
         }
     }
 
-    fn lead(&mut self, now: Instant, fabric: &mut Fabric, plan: &mut Plan) {
+    fn lead(
+        &mut self,
+        now: Instant,
+        fabric: &mut Fabric,
+        plan: &mut Plan,
+        models: &Models,
+    ) -> usize {
         for (id, order, result) in std::mem::take(&mut self.answers) {
             self.formation.answered(now, &id, &order, result);
         }
@@ -51,7 +63,8 @@
             incomplete: self.departures.by_group(),
             ..View::default()
         };
-        let Steps { replace, orders } = self.formation.step(now, &BTreeMap::new(), &view, plan);
+        let Steps { replace, orders } = self.formation.step(now, models, &view, plan);
+        let given = orders.len();
         for (id, _, order) in orders {
             let is_dead = fabric.engines[&id].gone;
             let result = if is_dead { OrderResult::Unanswered } else { fabric.apply(&id, &order) };
@@ -60,6 +73,7 @@
         if let Some(next) = replace {
             *plan = next;
         }
+        given
     }
 }
 
@@ -77,10 +91,8 @@
         let now = start + fabric.now;
         first.read(now, &fabric);
         second.read(now, &fabric);
-        let is_open = fabric.engines["i0-0"]
-            .member
-            .as_ref()
-            .is_some_and(|m| m.phase == turmerictack_groups::formation::Phase::Open);
+        let is_open =
+            fabric.engines["i0-0"].member.as_ref().is_some_and(|m| m.phase == Phase::Open);
         if is_open && died_at.is_none() {
             died_at = Some(fabric.now);
             fabric.crash("i0-0", None);
@@ -91,7 +103,7 @@
         }
         let hands_over = changes_hands && left_at.is_some_and(|at| fabric.now >= at + FIRST_FOR);
         let leader = if hands_over { &mut second } else { &mut first };
-        leader.lead(now, &mut fabric, &mut plan);
+        leader.lead(now, &mut fabric, &mut plan, &BTreeMap::new());
         if plan.groups.is_empty() {
             return fabric.now - left_at.unwrap_or_default();
         }
@@ -106,3 +118,24 @@
     let after = dissolved_after(changes_hands);
     assert!(after >= STALL && after <= MOST, "{after:?}");
 }
+
+#[rstest]
+fn a_node_that_takes_charge_does_not_load_beside_what_is_loading() {
+    let start = Instant::now();
+    let mut fabric = Fabric::new(3, 10);
+    let (mut first, mut second) = (Node::new(), Node::new());
+    let mut plan = Plan::default();
+    let large = ModelProfile { size: 4, share: 1.0, load: LOAD };
+    let models =
+        BTreeMap::from([("models".to_owned(), BTreeMap::from([("large".to_owned(), large)]))]);
+    let mut given = [0, 0];
+    for step in 0..20 {
+        fabric.advance(STEP);
+        let now = start + fabric.now;
+        let second_leads = step >= 10;
+        let leader = if second_leads { &mut second } else { &mut first };
+        given[usize::from(second_leads)] += leader.lead(now, &mut fabric, &mut plan, &models);
+    }
+    assert!(fabric.now < LOAD);
+    assert_eq!(given, [MOST_LOADS, 0]);
+}
