Take callers for what they are: less patience is not a second visit

Cause: a request whose deadline was shorter than the route's timeout passed for one that came back after a refusal. Change: only a patience below three quarters of the timeout tells that a caller comes back. Test: a_caller_with_less_patience_is_not_taken_for_one_that_comes_back, which failed before.

--- a/crates/serving/src/desk/job.rs
+++ b/crates/serving/src/desk/job.rs
@@ -19,6 +19,9 @@
 /// Engine priority of the most urgent rank, and the step to the next rank.
 const PRIORITY_STEP: u8 = 2;
 
+/// Part of a route's timeout that a caller which comes for the first time waits at least.
+const LEAST_FRESH_PATIENCE: f64 = 0.75;
+
 /// Last engine priority.
 const LAST_PRIORITY: u8 = 9;
 
@@ -37,11 +40,17 @@
         self.account.as_ref().and_then(|a| a.urgency).unwrap_or(self.route.urgency)
     }
 
-    /// Time since the caller asked first: one that comes back has less patience left than the
-    /// route allows.
+    /// Time since the caller asked first.
+    ///
+    /// Callers differ in patience, so only one that has far less than the route allows is known
+    /// to come back after a refusal.
     pub(super) fn elapsed_before(&self) -> Duration {
         let timeout = self.route.timeout;
-        timeout.saturating_sub(self.request.patience.unwrap_or(timeout))
+        let patience = self.request.patience.unwrap_or(timeout);
+        if patience >= timeout.mul_f64(LEAST_FRESH_PATIENCE) {
+            return Duration::ZERO;
+        }
+        timeout - patience
     }
 
     pub(super) fn dispatch(&self, resume_after: Option<EventPosition>) -> Dispatch {
--- a/crates/serving/src/desk/notes.rs
+++ b/crates/serving/src/desk/notes.rs
@@ -69,7 +69,8 @@
             event = event
                 .with("upstream", &placement.instance)
                 .with("load", placement.load)
-                .with("placed_ms", placement.waited.as_millis());
+                .with("placed_ms", placement.waited.as_millis())
+                .with("before_ms", job.elapsed_before().as_millis());
         }
         event.info();
     }
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -244,6 +244,32 @@
     assert_eq!(ended, 40 - places, "those without a place are told within a quarter of their time");
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_caller_with_less_patience_is_not_taken_for_one_that_comes_back() {
+    let tables = tables();
+    let (desk, upstreams) = desk(&tables);
+    upstreams.otherwise(Act::Hang);
+    let spawn = |id: &str, patience_ms: u64| {
+        let mut request = request("notes");
+        request.id = id.to_owned();
+        request.patience = Some(Duration::from_millis(patience_ms));
+        let desk = Arc::clone(&desk);
+        tokio::spawn(async move { desk.serve(request).await })
+    };
+    let running: Vec<_> = (0..6).map(|at| spawn(&format!("running {at}"), 4_000)).collect();
+    sleep(Duration::from_millis(20)).await;
+    assert_eq!(upstreams.sends(), 6);
+    let _first = spawn("came first, a little impatient", 3_300);
+    sleep(Duration::from_millis(20)).await;
+    let _second = spawn("came second", 4_000);
+    sleep(Duration::from_millis(20)).await;
+    running[0].abort();
+    sleep(Duration::from_millis(20)).await;
+    let sent = upstreams.sent.lock().unwrap();
+    assert_eq!(sent.last().unwrap().1.request, "came first, a little impatient");
+}
+
 fn in_flight(desk: &Desk) -> u32 {
     let placing = desk.tables.placing.lock();
     let now = std::time::Instant::now();
