Give places in a burst to requests that can be on time, across nodes

A request counted as on time until its objective, although the first event takes 170 ms more. And each node fills the places that its own requests leave, with late ones if it has no other, while a request that could be on time waits at another node. Change: on time means the objective less the median time to the first of an answer. Late requests leave a quarter of each upstream's places free, so that they are seen by other nodes. Beats go out each 50 ms.

--- a/crates/serving/src/beats.rs
+++ b/crates/serving/src/beats.rs
@@ -24,7 +24,7 @@
 };
 
 /// Time between two beats.
-const BEAT_EVERY: Duration = Duration::from_millis(100);
+const BEAT_EVERY: Duration = Duration::from_millis(50);
 
 /// Time between two looks at the platform's list of nodes.
 const LIST_EVERY: Duration = Duration::from_secs(5);
--- a/crates/serving/src/desk/place.rs
+++ b/crates/serving/src/desk/place.rs
@@ -10,7 +10,10 @@
         refusal::{Reason, Refusal},
         tables::{Place, Tables},
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time::sleep_until,
     turmerictack_model::clock::Clock,
 };
@@ -25,9 +28,16 @@
     kind: TargetKind,
     pub(crate) target: Arc<Target>,
     verdict: Verdict,
+    since: Instant,
 }
 
 impl Permit {
+    /// Takes in that the first of the answer is there.
+    pub(super) fn answered(&self) {
+        let took = self.clock.now().saturating_duration_since(self.since);
+        self.tables.placing.lock().timings.answered(&self.kind, took);
+    }
+
     pub(crate) fn conclude(mut self, verdict: Verdict) {
         self.verdict = verdict;
     }
@@ -48,10 +58,11 @@
         let elapsed = job.elapsed_before();
         let returned = elapsed > RETURNED_AFTER;
         let first_came = job.request.arrived.checked_sub(elapsed).unwrap_or(job.request.arrived);
+        let first_answer = self.tables.placing.lock().timings.first_answer(&job.kind);
         let terms = WaitTerms {
             urgency: job.urgency(),
             returned,
-            on_time_until: first_came + job.route.objective,
+            on_time_until: first_came + job.route.objective.saturating_sub(first_answer),
             give_up_at: give_up_at(now, job.deadline, returned),
         };
         let tried = attempts.tried();
@@ -98,6 +109,7 @@
             kind: job.kind.clone(),
             target,
             verdict: Verdict::Neutral,
+            since: self.clock.now(),
         }
     }
 }
--- a/crates/serving/src/desk/send.rs
+++ b/crates/serving/src/desk/send.rs
@@ -150,6 +150,7 @@
                 Ok(Ok(Some(first))) => {
                     let now = self.clock.now();
                     self.tables.placing.lock().loads.moved(now, target.key, None);
+                    permit.answered();
                     self.note_first_event(job, attempts, now);
                     let running = Running { permit, body };
                     let events = EventStream::begin(
@@ -207,6 +208,7 @@
                 return Err(Next::GiveUp(attempts.refusal(Reason::Deadline)));
             }
         };
+        permit.answered();
         let is_own_failure = head.status.is_server_error();
         permit.conclude(if is_own_failure { Verdict::Failed } else { Verdict::Served });
         if success || !is_own_failure || !job.route.is_repeatable() {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod request;
 pub mod stream;
 pub mod tables;
+pub mod timing;
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -100,13 +100,15 @@
 }
 
 impl Loads {
-    /// Chooses an upstream: the less loaded of those that nothing speaks against.
+    /// Chooses an upstream: the less loaded of those that nothing speaks against, with the
+    /// part `reserve` of its places left free.
     pub fn pick(
         &self,
         now: Instant,
         targets: &[Arc<Target>],
         tried: &[InstanceId],
         data_centre: &str,
+        reserve: f64,
         rng: &mut dyn Rng,
     ) -> Pick {
         let fresh: Vec<&Arc<Target>> =
@@ -119,9 +121,8 @@
         for target in fresh {
             let is_candidate =
                 if has_sound { self.is_sound(now, target) } else { !self.is_avoided(now, target) };
-            let Some(score) = self.score(target, data_centre).filter(|_| is_candidate) else {
-                continue;
-            };
+            let score = self.score(target, data_centre, reserve).filter(|_| is_candidate);
+            let Some(score) = score else { continue };
             // Small random part: nodes with the same view must not all choose the same one.
             let score = score + rng.random::<f64>();
             if best.is_none_or(|(b, _)| score < b) {
@@ -139,18 +140,19 @@
         targets
             .iter()
             .filter(|t| !tried.contains(&t.instance) && self.is_sound(now, t))
-            .any(|t| self.score(t, "").is_some())
+            .any(|t| self.score(t, "", 0.0).is_some())
     }
 
     /// Expected wait at an upstream in requests per slot; nothing when it is full.
     ///
     /// Answers the load of a group that opens while all nodes have requests waiting: what this
     /// node has sent since the last two beats, each of the others has probably sent as well.
-    fn score(&self, target: &Target, data_centre: &str) -> Option<f64> {
+    fn score(&self, target: &Target, data_centre: &str, reserve: f64) -> Option<f64> {
         let unseen = self.by_key.get(&target.key).map_or(0, |l| l.own.saturating_sub(l.told[0]));
         let others = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
         let in_flight = self.in_flight(target.key).saturating_add(unseen.saturating_mul(others));
-        if in_flight >= target.slots + EXTRA_PER_UPSTREAM {
+        let reserved = (f64::from(target.slots) * reserve).ceil() as u32;
+        if in_flight + reserved >= target.slots + EXTRA_PER_UPSTREAM {
             return None;
         }
         let pace = self.relative_pace(target);
--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -42,6 +42,19 @@
     pub give_up_at: Instant,
 }
 
+/// Part of the places at each upstream that late requests leave free.
+///
+/// Each node fills the places that its own requests leave. Without these a node with a backlog of
+/// late requests would keep all of its places from requests at other nodes that can be on time.
+const LATE_RESERVE: f64 = 0.25;
+
+impl WaitTerms {
+    /// Part of the places at an upstream that a request leaves free.
+    pub fn reserve(&self, now: Instant) -> f64 {
+        if is_late(now, self) { LATE_RESERVE } else { 0.0 }
+    }
+}
+
 /// Latest time at which a request that comes now is still worth sending.
 pub fn give_up_at(now: Instant, deadline: Instant, returned: bool) -> Instant {
     let share = if returned { RETURNED_WAIT_SHARE } else { MAX_WAIT_SHARE };
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -8,6 +8,7 @@
         membership::Members,
         queue::{Admission, Queues, Ticket, WaitTerms},
         repeats::{RepeatLimits, Repeats},
+        timing::Timings,
     },
     rand::SeedableRng as _,
     rand_pcg::Pcg64Mcg,
@@ -41,6 +42,8 @@
 pub struct Placing {
     /// Load by upstream.
     pub loads: Loads,
+    /// How long upstreams take.
+    pub timings: Timings,
     /// Random numbers.
     pub rng: Pcg64Mcg,
 }
@@ -93,7 +96,11 @@
 impl Tables {
     /// Empty tables; `seed` starts the random numbers.
     pub fn new(seed: u64, repeats: RepeatLimits) -> Self {
-        let placing = Placing { loads: Loads::default(), rng: Pcg64Mcg::seed_from_u64(seed) };
+        let placing = Placing {
+            loads: Loads::default(),
+            timings: Timings::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
         Self {
             catalog: Table::new(LockRank::Settings, None),
             members: Table::new(LockRank::Members, Members::default()),
@@ -155,8 +162,8 @@
         let mut queues = self.queues.lock();
         let queue = queues.entry(kind.clone()).or_default();
         if queue.is_empty() || !tried.is_empty() {
-            let Placing { loads, rng } = &mut *placing;
-            match loads.pick(now, targets, tried, data_centre, rng) {
+            let Placing { loads, rng, .. } = &mut *placing;
+            match loads.pick(now, targets, tried, data_centre, terms.reserve(now), rng) {
                 Pick::Place(target) => {
                     loads.take(now, &target);
                     queue.granted(now, &terms);
@@ -217,9 +224,9 @@
         let mut placing = self.placing.lock();
         let mut queues = self.queues.lock();
         let Some(queue) = queues.get_mut(kind) else { return };
-        let Placing { loads, rng } = &mut *placing;
+        let Placing { loads, rng, .. } = &mut *placing;
         while let Some((ticket, terms, waiter)) = queue.first(now) {
-            let pick = loads.pick(now, targets, &waiter.tried, "", rng);
+            let pick = loads.pick(now, targets, &waiter.tried, "", terms.reserve(now), rng);
             let Pick::Place(target) = pick else { return };
             let Some(waiter) = queue.remove(ticket) else { return };
             loads.take(now, &target);
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -44,7 +44,7 @@
 }
 
 fn pick(loads: &Loads, now: Instant, targets: &[Arc<Target>], tried: &[String]) -> Pick {
-    loads.pick(now, targets, tried, DATA_CENTRE, &mut Pcg64Mcg::seed_from_u64(1))
+    loads.pick(now, targets, tried, DATA_CENTRE, 0.0, &mut Pcg64Mcg::seed_from_u64(1))
 }
 
 #[rstest]
