Use the time before the first request for loads, and count only groups that serve

Cause: half of the instances had no weights when traffic began: loads take a tenth of the time before the first request, but were held to the rate for later ones, and each next one waited for the news that one had ended, which takes as long as the load.

--- a/crates/groups/src/formation/choice.rs
+++ b/crates/groups/src/formation/choice.rs
@@ -4,7 +4,10 @@
 //! ones among themselves without a load.
 
 use {
-    super::{EngineInstance, Formation, ModelProfile, Models, Order, Phase, Steps, View},
+    super::{
+        EngineInstance, Formation, Models, Order, Phase, Steps, View,
+        balance::{Balance, Profiles},
+    },
     crate::plan::Plan,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -25,9 +28,6 @@
 }
 
 type Domain = (ServiceId, FabricDomain);
-type Profiles = BTreeMap<ModelId, ModelProfile>;
-/// Instances by model.
-type Supply = BTreeMap<ModelId, usize>;
 
 impl Formation {
     /// Adds groups to the plan, and orders loads for what can't be formed yet.
@@ -47,15 +47,15 @@
                 .filter(|((s, _), _)| s == service)
                 .map(|(domain, ids)| (domain, ids.clone()))
                 .collect();
-            let mut supply = planned_supply(service, plan);
+            let mut balance = Balance::new(profiles).with_plan(service, view, plan);
             for free in domains.values_mut() {
-                while let Some((model, members)) = self.formable(view, profiles, &supply, free) {
+                while let Some((model, members)) = self.formable(view, profiles, &balance, free) {
                     take(free, &members);
-                    *supply.entry(model.clone()).or_default() += members.len();
+                    balance.add(&model, members.len());
                     plan.add(service.clone(), model, members);
                 }
             }
-            self.load(now, view, profiles, &preferences, &mut supply, domains, plan);
+            self.load(now, view, profiles, &preferences, balance, domains, plan);
         }
     }
 
@@ -63,7 +63,7 @@
     fn preferences(&self, models: &Models, view: &View, plan: &Plan) -> BTreeMap<Domain, ModelId> {
         let planned: BTreeMap<&InstanceId, &ModelId> =
             plan.groups.values().flat_map(|g| g.members.iter().map(|id| (id, &g.model))).collect();
-        let mut strength: BTreeMap<Domain, Supply> = BTreeMap::new();
+        let mut strength: BTreeMap<Domain, BTreeMap<ModelId, usize>> = BTreeMap::new();
         let mut size: BTreeMap<Domain, usize> = BTreeMap::new();
         for (id, engine) in &view.engines {
             let Some(profiles) = models.get(&engine.service) else { continue };
@@ -79,17 +79,18 @@
             }
         }
         let mut preferences = BTreeMap::new();
-        let mut supply: BTreeMap<&ServiceId, Supply> = BTreeMap::new();
+        let mut balances: BTreeMap<&ServiceId, Balance> = BTreeMap::new();
         let is_settled = |domain: &Domain| strength[domain].values().any(|points| *points > 0);
         let (settled, open): (Vec<&Domain>, Vec<&Domain>) =
             size.keys().partition(|domain| is_settled(domain));
         for domain in settled.into_iter().chain(open) {
-            let supply = supply.entry(&domain.0).or_default();
-            let scarcest = by_need(&models[&domain.0], supply);
+            let balance =
+                balances.entry(&domain.0).or_insert_with(|| Balance::new(&models[&domain.0]));
+            let scarcest = balance.by_need();
             let points = |model: &ModelId| strength[domain].get(model).copied().unwrap_or(0);
             // The last of several greatest ones wins, so the scarcest goes last.
             let Some(model) = scarcest.into_iter().rev().max_by_key(points) else { continue };
-            *supply.entry(model.clone()).or_default() += size[domain];
+            balance.add(&model, size[domain]);
             preferences.insert(domain.clone(), model);
         }
         preferences
@@ -131,10 +132,10 @@
         &self,
         view: &View,
         profiles: &Profiles,
-        supply: &Supply,
+        balance: &Balance,
         free: &BTreeSet<InstanceId>,
     ) -> Option<(ModelId, Vec<InstanceId>)> {
-        by_need(profiles, supply).into_iter().find_map(|model| {
+        balance.by_need().into_iter().find_map(|model| {
             let size = profiles[&model].size;
             let mut warm: Vec<(Warmth, &InstanceId)> = free
                 .iter()
@@ -156,12 +157,12 @@
         view: &View,
         profiles: &Profiles,
         preferences: &BTreeMap<Domain, ModelId>,
-        supply: &mut Supply,
+        mut balance: Balance,
         mut domains: BTreeMap<&Domain, BTreeSet<InstanceId>>,
         plan: &mut Plan,
     ) {
         while let Some((domain, model, members)) =
-            self.loadable(view, profiles, preferences, supply, &domains)
+            self.loadable(view, profiles, preferences, &balance, &domains)
         {
             if !self.load_all(now, view, &model, &members, plan) {
                 return;
@@ -169,7 +170,7 @@
             if let Some(free) = domains.get_mut(&domain) {
                 take(free, &members);
             }
-            *supply.entry(model).or_default() += members.len();
+            balance.add(&model, members.len());
         }
         for (domain, free) in domains {
             let Some(model) = preferences.get(domain) else { continue };
@@ -210,15 +211,14 @@
         view: &View,
         profiles: &Profiles,
         preferences: &BTreeMap<Domain, ModelId>,
-        supply: &Supply,
+        balance: &Balance,
         domains: &BTreeMap<&'a Domain, BTreeSet<InstanceId>>,
     ) -> Option<(&'a Domain, ModelId, Vec<InstanceId>)> {
-        for model in by_need(profiles, supply) {
+        for model in balance.by_need() {
             for (domain, free) in domains {
                 let Some(preferred) = preferences.get(*domain) else { continue };
                 let fits_preferred = free.len() >= profiles[preferred].size;
-                let is_scarcer =
-                    relative(&model, profiles, supply) < relative(preferred, profiles, supply);
+                let is_scarcer = balance.relative(&model) < balance.relative(preferred);
                 if *preferred != model && (fits_preferred || !is_scarcer) {
                     continue;
                 }
@@ -272,25 +272,3 @@
         free.remove(id);
     }
 }
-
-/// Instances of a service in planned groups.
-fn planned_supply(service: &ServiceId, plan: &Plan) -> Supply {
-    let mut supply = Supply::new();
-    for group in plan.groups.values().filter(|g| g.service == *service) {
-        *supply.entry(group.model.clone()).or_default() += group.members.len();
-    }
-    supply
-}
-
-/// Instances for a model's share of the work.
-fn relative(model: &ModelId, profiles: &Profiles, supply: &Supply) -> f64 {
-    let instances = supply.get(model).copied().unwrap_or(0) as f64;
-    instances / profiles[model].share.max(f64::MIN_POSITIVE)
-}
-
-/// Models, the one with the fewest instances for its share of the work first.
-fn by_need(profiles: &Profiles, supply: &Supply) -> Vec<ModelId> {
-    let mut models: Vec<ModelId> = profiles.keys().cloned().collect();
-    models.sort_by(|a, b| relative(a, profiles, supply).total_cmp(&relative(b, profiles, supply)));
-    models
-}
--- a/crates/groups/src/formation/loads.rs
+++ b/crates/groups/src/formation/loads.rs
@@ -19,6 +19,10 @@
 /// Loads beyond those at full speed, so that the store never idles between two steps.
 const EXTRA_AT_ONCE: usize = 2;
 
+/// The same before traffic, when loads take a tenth of the time: the news of their end takes as
+/// long, and the platform does not count them.
+const EXTRA_BEFORE_TRAFFIC: usize = 9;
+
 /// Times its usual length after which a load that shows no effect counts as failed.
 const LOAD_TIMEOUT_FACTOR: u32 = 3;
 
@@ -47,6 +51,7 @@
     /// Those of this node that it has yet to order.
     drafted: BTreeSet<InstanceId>,
     failed: BTreeSet<InstanceId>,
+    has_traffic: bool,
 }
 
 impl Loads {
@@ -57,6 +62,7 @@
             running: BTreeMap::new(),
             drafted: BTreeSet::new(),
             failed: BTreeSet::new(),
+            has_traffic: false,
         }
     }
 
@@ -100,6 +106,7 @@
         next: &mut Plan,
         steps: &mut Steps,
     ) {
+        self.has_traffic |= view.has_traffic;
         self.take_over(now, plan);
         for (id, model) in &plan.loads {
             let engine = view.engines.get(id).filter(|e| !e.leaving);
@@ -140,9 +147,7 @@
         model: &ModelId,
         plan: &mut Plan,
     ) -> bool {
-        let allowed = self.limits.per_second * WINDOW.as_secs_f64();
-        let is_busy = self.running.len() >= self.limits.at_once + EXTRA_AT_ONCE;
-        if is_busy || self.begun.len() as f64 + 1.0 > allowed {
+        if !self.may_begin() {
             return false;
         }
         self.begun.push_back(now);
@@ -152,6 +157,15 @@
         true
     }
 
+    fn may_begin(&self) -> bool {
+        if !self.has_traffic {
+            return self.running.len() < self.limits.at_once + EXTRA_BEFORE_TRAFFIC;
+        }
+        let allowed = self.limits.per_second * WINDOW.as_secs_f64();
+        self.running.len() < self.limits.at_once + EXTRA_AT_ONCE
+            && self.begun.len() as f64 + 1.0 <= allowed
+    }
+
     pub(super) fn failed(&mut self, id: &InstanceId) {
         self.failed.insert(id.clone());
     }
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -4,6 +4,7 @@
 //! write of the [`Plan`]. An instance moves to another group only once the head of its old one
 //! has left it, is gone, or must have noticed a missing member by itself.
 
+mod balance;
 mod choice;
 mod departures;
 mod loads;
@@ -156,6 +157,8 @@
     pub unreachable: BTreeSet<InstanceId>,
     /// Heads whose streams moved in the last second.
     pub progressing: BTreeSet<InstanceId>,
+    /// Whether callers send requests.
+    pub has_traffic: bool,
     /// Since when groups have lacked a member, as this node has seen it.
     pub incomplete: BTreeMap<GroupId, Instant>,
 }
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -239,6 +239,7 @@
             engines: self.nodes[index].view.clone(),
             unreachable: BTreeSet::new(),
             progressing: BTreeSet::new(),
+            has_traffic: true,
             incomplete: self.nodes[index].departures.by_group(),
         };
         let steps = self.nodes[index].formation.step(instant, &models(), &view, &plan);
--- a/crates/groups/tests/handover.rs
+++ b/crates/groups/tests/handover.rs
@@ -61,6 +61,7 @@
         let view = View {
             engines: fabric.listed(),
             incomplete: self.departures.by_group(),
+            has_traffic: true,
             ..View::default()
         };
         let Steps { replace, orders } = self.formation.step(now, models, &view, plan);
--- a/crates/serving/src/control.rs
+++ b/crates/serving/src/control.rs
@@ -272,13 +272,14 @@
                 work.incomplete = directory.incomplete_groups();
             }
         }
-        let (suspects, progressing) = {
+        let (suspects, progressing, has_traffic) = {
             let mut placing = self.tables.placing.lock();
+            let has_traffic = placing.loads.is_any_in_flight();
             let suspects = placing.loads.suspects(now);
             let heads = plan.groups.values().filter_map(|g| g.head());
             let moving: BTreeSet<InstanceId> =
                 heads.filter(|id| placing.loads.moved_recently(now, key_of(id))).cloned().collect();
-            (suspects, moving)
+            (suspects, moving, has_traffic)
         };
         self.probe(work, now, plan, &suspects);
         let unreachable = work
@@ -292,6 +293,7 @@
             unreachable,
             progressing,
             incomplete: work.incomplete.clone(),
+            has_traffic,
         }
     }
 
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -203,6 +203,11 @@
         self.by_key.get(&key).map_or(0, |l| l.own + l.peers)
     }
 
+    /// Whether a request is at any upstream, from any node.
+    pub fn is_any_in_flight(&self) -> bool {
+        self.by_key.values().any(|l| l.own + l.peers > 0)
+    }
+
     /// Counts a request that goes to an upstream.
     pub fn take(&mut self, now: Instant, target: &Target) {
         let load = self.entry(now, target.key);
