Let an instance leave a group that late orders brought it back to before it joins another

Ruled out: the plan (the old group had ended there in time). Change: a member that reports another group is told to leave that first, as free instances were.

--- a/crates/groups/src/formation/choice.rs
+++ b/crates/groups/src/formation/choice.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        EngineInstance, Formation, Models, Order, Phase, Steps, View,
+        EngineInstance, Formation, Models, Steps, View,
         balance::{Balance, Profiles},
     },
     crate::plan::Plan,
@@ -111,15 +111,8 @@
             if engine.leaving || planned.contains(id) || view.unreachable.contains(id) {
                 continue;
             }
-            // An entry may be older than an order to open, so its phase proves nothing.
-            if let Some(stray) = engine.membership.as_ref()
-                && stray.phase != Phase::Broken
-            {
-                let order = Order::Leave { group: stray.group.clone(), epoch: stray.epoch };
-                if !self.was_obeyed(now, id, &order) {
-                    self.give(now, id, engine, order, steps);
-                    continue;
-                }
+            if !self.is_out_of_others(now, id, engine, "", steps) {
+                continue;
             }
             let domain = (engine.service.clone(), engine.domain.clone());
             free.entry(domain).or_default().insert(id.clone());
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -308,6 +308,9 @@
                 Some(Phase::Joining | Phase::Broken) => all_ready = false,
                 None => {
                     all_ready = false;
+                    if !self.is_out_of_others(now, id, engine, name, steps) {
+                        continue;
+                    }
                     let order = Order::Join {
                         group: name.clone(),
                         epoch: group.epoch,
@@ -351,6 +354,28 @@
         phase == Some(Phase::Broken) || group.members.iter().any(is_lost)
     }
 
+    /// Whether an instance has left any group but `name`; tells it to leave otherwise.
+    ///
+    /// Late orders may bring it back into a group that was dissolved, and open that.
+    fn is_out_of_others(
+        &mut self,
+        now: Instant,
+        id: &InstanceId,
+        engine: &EngineInstance,
+        name: &str,
+        steps: &mut Steps,
+    ) -> bool {
+        let stray = engine.membership.as_ref().filter(|m| m.group != name);
+        // An entry may be older than an order to open, so only a broken group is known to be shut.
+        let Some(stray) = stray.filter(|m| m.phase != Phase::Broken) else { return true };
+        let order = Order::Leave { group: stray.group.clone(), epoch: stray.epoch };
+        if self.was_obeyed(now, id, &order) {
+            return true;
+        }
+        self.give(now, id, engine, order, steps);
+        false
+    }
+
     /// Whether an instance has just answered that an order holds, or does not concern it.
     ///
     /// Only for as long as its entry may be older than the answer: a late order may undo it.
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -65,7 +65,22 @@
     }
 }
 
+/// How often orders are late, and two nodes are in charge.
+#[derive(Clone, Copy)]
+struct Weather {
+    /// Times of late orders, a second.
+    late_per_second: f64,
+    /// Part of the orders that are late at such a time.
+    late_share: f64,
+    /// Times with a second node in charge, a second.
+    second_per_second: f64,
+}
+
+const USUAL: Weather = Weather { late_per_second: 0.05, late_share: 0.35, second_per_second: 0.1 };
+const ROUGH: Weather = Weather { late_per_second: 0.4, late_share: 0.6, second_per_second: 0.3 };
+
 struct World {
+    weather: Weather,
     rng: Pcg64Mcg,
     origin: Instant,
     fabric: Fabric,
@@ -84,8 +99,9 @@
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, weather: Weather) -> Self {
         Self {
+            weather,
             rng: Pcg64Mcg::seed_from_u64(seed),
             origin: Instant::now(),
             fabric: Fabric::new(2, 8),
@@ -145,13 +161,13 @@
                 engine.leaving = true;
             }
         }
-        if self.chance(0.05) {
+        if self.chance(self.weather.late_per_second) {
             self.late_until = now + self.within(1.0..5.0);
         }
         if self.chance(0.05) {
             self.store_down_until = now + self.within(1.0..5.0);
         }
-        if self.chance(0.1) {
+        if self.chance(self.weather.second_per_second) {
             self.second_until = now + self.within(0.5..4.0);
             self.nodes[1].take_charge();
         }
@@ -181,7 +197,7 @@
         if !is_up {
             return OrderResult::Gone;
         }
-        if late_window && self.rng.random::<f64>() < 0.35 {
+        if late_window && self.rng.random::<f64>() < self.weather.late_share {
             let at = now + self.within(2.0..12.0);
             self.fabric.late.push((at, id.clone(), started, order.clone()));
             return OrderResult::Unanswered;
@@ -336,8 +352,8 @@
 }
 
 /// Plays a history, prints its end if something is wrong, and gives what is.
-fn play(seed: u64) -> Vec<String> {
-    let mut world = World::new(seed);
+fn play(seed: u64, weather: Weather) -> Vec<String> {
+    let mut world = World::new(seed, weather);
     world.play();
     let mut wrong = world.fabric.broken_rules.clone();
     if wrong.is_empty() {
@@ -360,17 +376,27 @@
 #[rstest]
 fn seeds_that_failed_once_hold() {
     for seed in SEEDS_THAT_FAILED {
-        assert_eq!(play(seed), Vec::<String>::new(), "seed {seed}");
+        assert_eq!(play(seed, USUAL), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// The same with many late orders: members that these brought back into dissolved groups.
+const ROUGH_SEEDS_THAT_FAILED: [u64; 2] = [12, 58];
+
+#[rstest]
+fn rough_seeds_that_failed_once_hold() {
+    for seed in ROUGH_SEEDS_THAT_FAILED {
+        assert_eq!(play(seed, ROUGH), Vec::<String>::new(), "seed {seed}");
     }
 }
 
 #[rstest]
-fn no_history_breaks_a_rule_and_all_that_can_serve_does() {
+fn no_history_breaks_a_rule_and_all_that_can_serve_does(#[values(USUAL, ROUGH)] weather: Weather) {
     let count = env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
     let first = env::var("FIRST_SEED").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
     let mut failed = Vec::new();
     for seed in first..first + count.unwrap_or(DEFAULT_HISTORIES) {
-        let wrong = play(seed);
+        let wrong = play(seed, weather);
         if !wrong.is_empty() {
             failed.push((seed, wrong));
         }
