--- a/crates/serving/src/beats.rs
+++ b/crates/serving/src/beats.rs
@@ -10,7 +10,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::{MissedTickBehavior, interval, sleep},
+    tokio::time::sleep,
     turmerictack_model::{
         clock::Clock,
         ids::{Address, Incarnation, NodeId},
@@ -71,18 +71,22 @@
     }
 
     async fn send_all(self: Arc<Self>) {
-        let mut ticks = interval(BEAT_EVERY);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
-            let now = self.clock.now();
-            let beat = self.beat(now);
-            let Ok(datagram) = encode(&beat) else { continue };
             let addresses = self.tables.members.lock().addresses(&self.identity.address);
-            for address in addresses {
-                self.channel.send(&address, &datagram).await;
-            }
+            self.send(&addresses).await;
             self.tables.pump_all(self.clock.now());
+            sleep(BEAT_EVERY).await;
+        }
+    }
+
+    async fn send(&self, addresses: &[Address]) {
+        match encode(&self.beat(self.clock.now())) {
+            Ok(datagram) => {
+                for address in addresses {
+                    self.channel.send(address, &datagram).await;
+                }
+            }
+            Err(error) => logs::event("beat_not_encoded").with("cause", error).error(),
         }
     }
 
