--- a/crates/groups/tests/fabric/mod.rs
+++ b/crates/groups/tests/fabric/mod.rs
@@ -1,5 +1,7 @@
 //! Engines as the platform publishes them, in virtual time, with the rules checked at every order.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 use {
     std::{
         collections::{BTreeMap, BTreeSet},
