Send heartbeats to eight peers an interval, in turn

Cause: each node sent a heartbeat to each other node every 50 ms, so their number grew with the square of the cluster: 142,800 a second at 85 nodes. Change: a node addresses its peers in turn, eight in each interval of 50 ms. Nine nodes send what they sent before. The time without a heartbeat after which a node counts as dead, and the load that counts as reported, follow the length of a round.

--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         interfaces::{NodeList, PeerTransport},
-        membership::LeaderStatus,
+        membership::{HEARTBEAT_INTERVAL, LeaderStatus},
         tables::Tables,
     },
     std::{
@@ -23,9 +23,6 @@
     turmerictack_telemetry::logs,
 };
 
-/// Interval between heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Interval between reads of the platform's list of nodes.
 const NODE_LIST_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -71,16 +68,21 @@
     }
 
     async fn send_loop(self: Arc<Self>) {
+        let mut losses = Vec::new();
         loop {
-            let addresses = self.tables.peers.lock().heartbeat_addresses(&self.identity.address);
-            self.broadcast(&addresses).await;
+            let batch = self.tables.peers.lock().next_heartbeat_batch(&self.identity.address);
+            if batch.starts_round {
+                self.tables.balancer.lock().loads.mark_reported();
+                losses = self.tables.quarantine.lock().next_updates();
+            }
+            self.broadcast(&batch.addresses, &losses).await;
             self.tables.dispatch_all_waiting(self.clock.now());
             sleep(HEARTBEAT_INTERVAL).await;
         }
     }
 
-    async fn broadcast(&self, addresses: &[Address]) {
-        match encode(&self.build_heartbeat(self.clock.now())) {
+    async fn broadcast(&self, addresses: &[Address], losses: &[UpstreamLoss]) {
+        match encode(&self.build_heartbeat(self.clock.now(), losses)) {
             Ok(datagram) => {
                 for address in addresses {
                     self.transport.send(address, &datagram).await;
@@ -90,12 +92,11 @@
         }
     }
 
-    fn build_heartbeat(&self, now: Instant) -> Heartbeat {
+    fn build_heartbeat(&self, now: Instant, losses: &[UpstreamLoss]) -> Heartbeat {
         let (loads, unresponsive) = {
-            let mut balancer = self.tables.balancer.lock();
-            (balancer.loads.report_loads(now), balancer.loads.stalled_upstreams(now))
+            let balancer = self.tables.balancer.lock();
+            (balancer.loads.local_loads(now), balancer.loads.stalled_upstreams(now))
         };
-        let losses = self.tables.quarantine.lock().next_updates();
         let has_fresh_view = self.tables.has_fresh_view(now);
         let (leaving, is_leader) = {
             let lifecycle = self.tables.lifecycle.lock();
@@ -112,7 +113,8 @@
             loads,
             unresponsive,
             losses: losses
-                .into_iter()
+                .iter()
+                .cloned()
                 .map(|l| HeartbeatUpstreamLoss { digest: l.digest, upstream: l.upstream })
                 .collect(),
         }
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -49,7 +49,8 @@
 #[derive(Clone, Copy, Debug)]
 struct UpstreamLoad {
     local_in_flight: u32,
-    /// Local requests in flight at the last two heartbeats, the older one first.
+    /// Local requests in flight at the start of the last two rounds of heartbeats, the older one
+    /// first.
     reported: [u32; 2],
     peer_in_flight: u32,
     busy_since: Instant,
@@ -155,7 +156,7 @@
     /// Load score of an upstream, lower being better; `None` if it is full.
     ///
     /// What peers have sent since their latest heartbeats is not known here, so each of them is
-    /// assumed to have sent as many requests as this node has since its last but one heartbeat.
+    /// assumed to have sent as many requests as this node has since its last but one round of them.
     /// Otherwise all nodes with queued requests would overload a group at the moment it opens.
     fn score(&self, upstream: &Upstream, data_centre: &str, reserved_share: f64) -> Option<f64> {
         let unreported = self
@@ -294,12 +295,11 @@
         }
     }
 
-    /// Local load for the next heartbeat; remembers that it has been reported.
-    pub fn report_loads(&mut self, now: Instant) -> Vec<HeartbeatLoad> {
+    /// Remembers the local load as reported to all peers in the round of heartbeats that begins.
+    pub fn mark_reported(&mut self) {
         for load in self.by_key.values_mut() {
             load.reported = [load.reported[1], load.local_in_flight];
         }
-        self.local_loads(now)
     }
 
     /// Local load of upstreams that are busy or made progress lately.
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -11,8 +11,20 @@
     },
 };
 
-/// Time without a heartbeat after which a node counts as dead.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval at which heartbeats are sent, each time to the next few peers.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Number of peers to which heartbeats are sent in one interval.
+///
+/// Larger clusters exchange heartbeats less often instead of sending more of them, since a node
+/// that talks to all others all the time has no processor time left for requests.
+pub const MAX_HEARTBEATS_PER_INTERVAL: usize = 8;
+
+/// Minimum time without a heartbeat after which a node counts as dead.
+const MIN_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Number of heartbeats in a row that must be missing for a node to count as dead.
+const MAX_MISSED_HEARTBEATS: u32 = 3;
 
 /// Rendezvous hashing key that ranks nodes for leadership.
 const LEADER_KEY: &str = "groups";
@@ -39,6 +51,16 @@
 pub struct PeerTable {
     peers: BTreeMap<NodeId, Peer>,
     registered: BTreeMap<Address, Instant>,
+    last_addressed: Option<Address>,
+}
+
+/// Peers to which heartbeats are sent in one interval.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HeartbeatBatch {
+    /// Heartbeat addresses.
+    pub addresses: Vec<Address>,
+    /// Whether all peers have been addressed since the batch that last had this set.
+    pub starts_round: bool,
 }
 
 /// Time for which a newly registered node without a heartbeat so far counts as a candidate.
@@ -79,9 +101,37 @@
         all
     }
 
+    /// Next batch of peers to send heartbeats to; successive batches address all peers in turn.
+    pub fn next_heartbeat_batch(&mut self, own: &Address) -> HeartbeatBatch {
+        let mut addresses = self.heartbeat_addresses(own);
+        let next = match &self.last_addressed {
+            Some(last) => addresses.partition_point(|a| a <= last),
+            None => 0,
+        };
+        let starts_round = next == 0 || next >= addresses.len();
+        if !starts_round {
+            addresses.drain(..next);
+        }
+        addresses.truncate(MAX_HEARTBEATS_PER_INTERVAL);
+        self.last_addressed = addresses.last().cloned();
+        HeartbeatBatch { addresses, starts_round }
+    }
+
     /// Number of nodes that are alive, including this one.
     pub fn live_count(&self, now: Instant) -> usize {
-        1 + self.peers.values().filter(|p| now < p.last_heartbeat + HEARTBEAT_TIMEOUT).count()
+        1 + self.peers.values().filter(|p| self.is_alive(now, p)).count()
+    }
+
+    fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
+        now < peer.last_heartbeat + self.heartbeat_timeout()
+    }
+
+    /// Time without a heartbeat after which a node counts as dead.
+    fn heartbeat_timeout(&self) -> Duration {
+        let nodes = self.registered.len().max(self.peers.len());
+        let intervals = u32::try_from(nodes.div_ceil(MAX_HEARTBEATS_PER_INTERVAL));
+        let round = HEARTBEAT_INTERVAL * intervals.unwrap_or(u32::MAX);
+        MIN_HEARTBEAT_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS)
     }
 
     /// Whether this node should lead group control; `own` is its status so far.
@@ -96,7 +146,7 @@
         let candidates: Vec<&Peer> = self
             .peers
             .values()
-            .filter(|p| p.status.eligible && now < p.last_heartbeat + HEARTBEAT_TIMEOUT)
+            .filter(|p| p.status.eligible && self.is_alive(now, p))
             .filter(|p| p.address != *address)
             .collect();
         let leaders = candidates.iter().filter(|p| p.status.is_leader).map(|p| p.address.as_str());
--- a/crates/serving/tests/burst.rs
+++ b/crates/serving/tests/burst.rs
@@ -137,7 +137,10 @@
 
     fn exchange_heartbeats(&self, now: Instant) {
         for (from, tables) in self.nodes.iter().enumerate() {
-            let loads = tables.balancer.lock().loads.report_loads(now);
+            let mut balancer = tables.balancer.lock();
+            balancer.loads.mark_reported();
+            let loads = balancer.loads.local_loads(now);
+            drop(balancer);
             let node = format!("n{from}");
             for (_, other) in self.nodes.iter().enumerate().filter(|(to, _)| *to != from) {
                 other.balancer.lock().loads.merge_peer_loads(now, &node, &loads);
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -147,8 +147,8 @@
             }
         }
         // After two heartbeats the peers know of the requests, and the remaining slots are used.
-        loads.report_loads(now);
-        loads.report_loads(now);
+        loads.mark_reported();
+        loads.mark_reported();
         assert_eq!(
             select(&loads, now, &upstreams, &[]),
             Selection::Upstream(Arc::clone(&upstream))
--- /dev/null
+++ b/crates/serving/tests/heartbeats.rs
@@ -0,0 +1,116 @@
+//! Cost and coverage of the heartbeats that a node sends.
+
+#![allow(clippy::unwrap_used, reason = "a poisoned lock fails the test")]
+
+mod common;
+
+use {
+    async_trait::async_trait,
+    bytes::Bytes,
+    common::tables,
+    rstest::rstest,
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+    turmerictack_model::{clock::SystemClock, ids::Address},
+    turmerictack_serving::{
+        heartbeat::{HeartbeatExchange, NodeIdentity},
+        interfaces::{NodeList, PeerTransport},
+        membership::{LeaderStatus, PeerTable},
+    },
+};
+
+/// Heartbeats a second that nine nodes send each, to each other node every 50 ms.
+const MAX_HEARTBEATS_PER_SECOND: usize = 160;
+
+const OWN: &str = "10.0.0.0:1";
+
+#[derive(Default)]
+struct CountingTransport {
+    sent: Mutex<BTreeMap<Address, usize>>,
+}
+
+#[async_trait]
+impl PeerTransport for CountingTransport {
+    async fn send(&self, to: &Address, _datagram: &[u8]) {
+        *self.sent.lock().unwrap().entry(to.clone()).or_default() += 1;
+    }
+
+    async fn receive(&self) -> Bytes {
+        std::future::pending().await
+    }
+}
+
+struct FixedNodeList(usize);
+
+#[async_trait]
+impl NodeList for FixedNodeList {
+    async fn addresses(&self) -> Option<Vec<Address>> {
+        Some(addresses(self.0))
+    }
+}
+
+fn addresses(nodes: usize) -> Vec<Address> {
+    (0..nodes).map(|at| format!("10.0.{}.{}:1", at / 250, at % 250)).collect()
+}
+
+#[rstest]
+#[tokio::test]
+async fn heartbeats_sent_by_a_node_do_not_grow_with_the_cluster(
+    #[values(9, 85, 380)] nodes: usize,
+) {
+    let transport = Arc::new(CountingTransport::default());
+    let identity =
+        NodeIdentity { node: "node".to_owned(), address: OWN.to_owned(), incarnation: 1 };
+    let started = Instant::now();
+    HeartbeatExchange::spawn(
+        tables(),
+        transport.clone(),
+        Arc::new(FixedNodeList(nodes)),
+        Arc::new(SystemClock::default()),
+        identity,
+    );
+    sleep(Duration::from_secs(1)).await;
+    let elapsed = started.elapsed().as_secs_f64();
+    let sent: usize = transport.sent.lock().unwrap().values().sum();
+    // One interval more, since the first heartbeats are sent at once.
+    let most = MAX_HEARTBEATS_PER_SECOND as f64 * (elapsed + 0.05);
+    assert!(sent as f64 <= most, "{sent} heartbeats in {elapsed:.2} s");
+}
+
+#[rstest]
+fn heartbeats_reach_all_peers_equally_often(#[values(1, 8, 9, 84, 379)] peers: usize) {
+    let mut table = PeerTable::default();
+    table.set_registered(Instant::now(), addresses(peers + 1));
+    let mut sent: BTreeMap<Address, usize> = BTreeMap::new();
+    let mut rounds = 0;
+    loop {
+        let batch = table.next_heartbeat_batch(&OWN.to_owned());
+        rounds += usize::from(batch.starts_round);
+        if rounds > 3 {
+            break;
+        }
+        for address in batch.addresses {
+            *sent.entry(address).or_default() += 1;
+        }
+    }
+    assert_eq!(sent.len(), peers);
+    assert!(sent.values().all(|count| *count == 3), "{sent:?}");
+}
+
+#[rstest]
+fn node_that_sends_one_heartbeat_each_round_counts_as_alive(#[values(9, 85, 380)] nodes: usize) {
+    let mut table = PeerTable::default();
+    let mut now = Instant::now();
+    table.set_registered(now, addresses(nodes));
+    let round = Duration::from_millis(50) * nodes.div_ceil(8) as u32;
+    let status = LeaderStatus { eligible: true, is_leader: false };
+    for _ in 0..3 {
+        table.record_heartbeat(now, &"peer".to_owned(), &"10.0.0.1:1".to_owned(), 1, status);
+        now += round;
+    }
+    assert_eq!(table.live_count(now), 2);
+}
