Spread requests that peers have not reported yet

Callers saw: of the streams of the model with groups of 2, one in four late while half of the slots were free; with the rounds of heartbeats of large clusters, also those of the model with groups of 8. Cause: a node chose the upstream with the least load it knew of. All nodes know nearly the same loads, and learn of each other's requests a round of heartbeats later, so all of them sent to the same few groups meanwhile. Change: the node estimates how many requests its peers have sent since their latest heartbeats, from its own rate and the age of these, and chooses at random in proportion to what each upstream lacks to the level that this many requests would raise the lowest ones to. With fresh loads this is the least loaded upstream.

--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -43,6 +43,9 @@
 /// Failure rate at which an upstream counts as unhealthy.
 const MAX_FAILURE_RATE: f64 = 0.3;
 
+/// Time constant of the moving average of the send rate.
+const SEND_RATE_WINDOW: Duration = Duration::from_secs(2);
+
 /// Weight of the latest interval in the moving average of the time between events.
 const INTERVAL_EWMA_WEIGHT: f64 = 0.2;
 
@@ -59,6 +62,26 @@
     cooldown_until: Option<Instant>,
     failure_rate: f64,
     event_interval_ms: Option<f64>,
+    send_rate: SendRate,
+}
+
+/// Moving average of the rate of requests that this node sends.
+#[derive(Clone, Copy, Debug)]
+struct SendRate {
+    per_second: f64,
+    updated_at: Instant,
+}
+
+impl SendRate {
+    fn per_second(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated_at);
+        self.per_second * (-age.as_secs_f64() / SEND_RATE_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn record_send(&mut self, now: Instant) {
+        self.per_second = self.per_second(now) + 1.0 / SEND_RATE_WINDOW.as_secs_f64();
+        self.updated_at = now;
+    }
 }
 
 /// Load last reported by one peer.
@@ -119,27 +142,37 @@
             return Selection::NoCandidate;
         }
         let has_healthy = candidates.iter().any(|u| self.is_healthy(now, u));
-        let mut best: Option<(f64, &Arc<Upstream>)> = None;
-        for upstream in candidates {
-            let is_eligible = if has_healthy {
+        let is_eligible = |upstream: &Upstream| {
+            if has_healthy {
                 self.is_healthy(now, upstream)
             } else {
                 !self.is_cooling_down(now, upstream)
-            };
-            let score = self.score(upstream, data_centre, reserved_share).filter(|_| is_eligible);
-            let Some(score) = score else { continue };
-            // A random part keeps nodes with the same view from all choosing the same upstream.
-            let score = score + rng.random::<f64>();
-            if best.is_none_or(|(best_score, _)| score < best_score) {
-                best = Some((score, upstream));
             }
-        }
-        match best {
-            Some((_, upstream)) => Selection::Upstream(Arc::clone(upstream)),
+        };
+        let scores: Vec<(f64, &Arc<Upstream>)> = candidates
+            .into_iter()
+            .filter(|u| is_eligible(u))
+            .filter_map(|u| Some((self.score(u, data_centre, reserved_share)?, u)))
+            .collect();
+        let unseen = self.expected_unseen_sends(now, upstreams);
+        match choose_below_level(&scores, 1.0 + unseen, rng) {
+            Some(upstream) => Selection::Upstream(Arc::clone(upstream)),
             None => Selection::Saturated,
         }
     }
 
+    /// Requests that peers are expected to have sent to these upstreams since their latest
+    /// heartbeats, if they send as many as this node does.
+    fn expected_unseen_sends(&self, now: Instant, upstreams: &[Arc<Upstream>]) -> f64 {
+        let own_rate: f64 = upstreams
+            .iter()
+            .filter_map(|u| self.by_key.get(&u.key))
+            .map(|l| l.send_rate.per_second(now))
+            .sum();
+        let ages = self.peer_loads.values().map(|p| now.saturating_duration_since(p.received_at));
+        own_rate * ages.sum::<Duration>().as_secs_f64()
+    }
+
     /// Whether a healthy upstream that is not excluded can take another request.
     pub fn has_capacity(
         &self,
@@ -239,6 +272,7 @@
             load.busy_since = now;
         }
         load.local_in_flight += 1;
+        load.send_rate.record_send(now);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
 
@@ -356,6 +390,39 @@
             cooldown_until: None,
             failure_rate: 0.0,
             event_interval_ms: None,
+            send_rate: SendRate { per_second: 0.0, updated_at: now },
         })
     }
 }
+
+/// Chooses an upstream so that, if all nodes choose from the same scores, `sends` requests raise
+/// the lowest ones to a common level.
+///
+/// Nodes with the same view would otherwise all send to the upstream with the lowest score until
+/// they learn of each other's requests.
+fn choose_below_level<'a>(
+    scores: &[(f64, &'a Arc<Upstream>)],
+    sends: f64,
+    rng: &mut dyn Rng,
+) -> Option<&'a Arc<Upstream>> {
+    let mut sorted: Vec<f64> = scores.iter().map(|(score, _)| *score).collect();
+    sorted.sort_by(f64::total_cmp);
+    let mut below = 0.0;
+    let mut level = f64::INFINITY;
+    for (at, score) in sorted.iter().enumerate() {
+        if *score >= level {
+            break;
+        }
+        below += score;
+        level = (sends + below) / (at + 1) as f64;
+    }
+    let total: f64 = scores.iter().map(|(score, _)| (level - score).max(0.0)).sum();
+    let mut draw = rng.random::<f64>() * total;
+    for (score, upstream) in scores {
+        draw -= (level - score).max(0.0);
+        if draw < 0.0 {
+            return Some(upstream);
+        }
+    }
+    scores.last().map(|(_, upstream)| *upstream)
+}
