Keep a spare for each large group instead of a small group

Cause: in a domain of 18, two groups of 8 leave two instances, which formed a group of 2. Change: a domain keeps one spare for each group of its preferred model before it forms a smaller group of another one. Evidence: lost_member_of_a_large_group_is_replaced_without_a_load failed before (1 of 2 groups open 8 s after the loss, domains of 18 and of 10). The spares are used up after about 20 s; losses are then again faster than loads.

--- a/crates/groups/src/formation/selection.rs
+++ b/crates/groups/src/formation/selection.rs
@@ -30,6 +30,30 @@
 /// Instances of one service in one fabric domain.
 type ServiceDomain = (ServiceId, FabricDomain);
 
+/// What decides which weights to load.
+struct LoadPlanning<'a> {
+    profiles: &'a ModelProfiles,
+    preferences: &'a BTreeMap<ServiceDomain, ModelId>,
+    reserves: &'a BTreeMap<ServiceDomain, SpareReserve>,
+}
+
+/// Instances of a domain to keep as spares of its preferred model.
+///
+/// The loss of one member idles all others of a group until a spare replaces it. One spare for each
+/// group is therefore worth more than a smaller group of another model.
+struct SpareReserve {
+    preferred: ModelId,
+    group_size: usize,
+    spares: usize,
+}
+
+impl SpareReserve {
+    /// Whether `free` instances are enough for a group of a model and the spares.
+    fn allows_group(&self, model: &ModelId, size: usize, free: usize) -> bool {
+        *model == self.preferred || size >= self.group_size || free >= size + self.spares
+    }
+}
+
 impl GroupPlanner {
     /// Adds groups to the plan, and plans loads for the groups that can't be formed yet.
     pub(super) fn form_groups(
@@ -49,16 +73,19 @@
                 .map(|(domain, ids)| (domain, ids.clone()))
                 .collect();
             let mut supply = ModelSupply::new(profiles).with_planned_groups(service, view, plan);
-            for free in domains.values_mut() {
+            let reserves = spare_reserves(service, profiles, view, &preferences, plan);
+            for (domain, free) in &mut domains {
+                let reserve = reserves.get(*domain);
                 while let Some((model, members)) =
-                    self.next_formable_group(view, profiles, &supply, free)
+                    self.next_formable_group(view, profiles, &supply, reserve, free)
                 {
                     remove_all(free, &members);
                     supply.add(&model, members.len());
                     plan.add_group(service.clone(), model, members);
                 }
             }
-            self.plan_loads(now, view, profiles, &preferences, supply, domains, plan);
+            let limits = LoadPlanning { profiles, preferences: &preferences, reserves: &reserves };
+            self.plan_loads(now, view, &limits, supply, domains, plan);
         }
     }
 
@@ -137,10 +164,14 @@
         view: &ClusterView,
         profiles: &ModelProfiles,
         supply: &ModelSupply,
+        reserve: Option<&SpareReserve>,
         free: &BTreeSet<InstanceId>,
     ) -> Option<(ModelId, Vec<InstanceId>)> {
         supply.models_by_need().into_iter().find_map(|model| {
             let size = profiles[&model].group_size;
+            if reserve.is_some_and(|r| !r.allows_group(&model, size, free.len())) {
+                return None;
+            }
             let mut warm: Vec<(Warmth, &InstanceId)> = free
                 .iter()
                 .filter_map(|id| Some((self.warmth(id, view.engines.get(id)?, &model), id)))
@@ -154,19 +185,17 @@
     }
 
     /// Plans loads: first for whole groups, in order of need, then for spare instances.
-    #[allow(clippy::too_many_arguments, reason = "the inputs of one decision")]
     fn plan_loads(
         &mut self,
         now: Instant,
         view: &ClusterView,
-        profiles: &ModelProfiles,
-        preferences: &BTreeMap<ServiceDomain, ModelId>,
+        limits: &LoadPlanning<'_>,
         mut supply: ModelSupply,
         mut domains: BTreeMap<&ServiceDomain, BTreeSet<InstanceId>>,
         plan: &mut Plan,
     ) {
         while let Some((domain, model, members)) =
-            self.next_loadable_group(view, profiles, preferences, &supply, &domains)
+            self.next_loadable_group(view, limits, &supply, &domains)
         {
             if !self.plan_missing_loads(now, view, &model, &members, plan) {
                 return;
@@ -177,7 +206,7 @@
             supply.add(&model, members.len());
         }
         for (domain, free) in domains {
-            let Some(model) = preferences.get(domain) else { continue };
+            let Some(model) = limits.preferences.get(domain) else { continue };
             let spares: Vec<InstanceId> =
                 free.into_iter().filter(|id| self.loads.loading_model(id).is_none()).collect();
             if !self.plan_missing_loads(now, view, model, &spares, plan) {
@@ -216,22 +245,24 @@
     fn next_loadable_group<'a>(
         &self,
         view: &ClusterView,
-        profiles: &ModelProfiles,
-        preferences: &BTreeMap<ServiceDomain, ModelId>,
+        limits: &LoadPlanning<'_>,
         supply: &ModelSupply,
         domains: &BTreeMap<&'a ServiceDomain, BTreeSet<InstanceId>>,
     ) -> Option<(&'a ServiceDomain, ModelId, Vec<InstanceId>)> {
         for model in supply.models_by_need() {
+            let size = limits.profiles[&model].group_size;
             for (domain, free) in domains {
-                let Some(preferred) = preferences.get(*domain) else { continue };
-                let fits_preferred = free.len() >= profiles[preferred].group_size;
+                let Some(preferred) = limits.preferences.get(*domain) else { continue };
+                let fits_preferred = free.len() >= limits.profiles[preferred].group_size;
                 let is_scarcer = supply.per_share(&model) < supply.per_share(preferred);
                 if *preferred != model && (fits_preferred || !is_scarcer) {
                     continue;
                 }
-                if let Some(members) =
-                    self.loadable_members(view, &model, profiles[&model].group_size, free)
-                {
+                let reserve = limits.reserves.get(*domain);
+                if reserve.is_some_and(|r| !r.allows_group(&model, size, free.len())) {
+                    continue;
+                }
+                if let Some(members) = self.loadable_members(view, &model, size, free) {
                     return Some((domain, model, members));
                 }
             }
@@ -284,3 +315,35 @@
         free.remove(id);
     }
 }
+
+/// Spares to keep in each domain of a service: one for each group of the preferred model that the
+/// domain can have.
+fn spare_reserves(
+    service: &ServiceId,
+    profiles: &ModelProfiles,
+    view: &ClusterView,
+    preferences: &BTreeMap<ServiceDomain, ModelId>,
+    plan: &Plan,
+) -> BTreeMap<ServiceDomain, SpareReserve> {
+    let models: BTreeMap<&InstanceId, &ModelId> =
+        plan.groups.values().flat_map(|g| g.members.iter().map(|id| (id, &g.model))).collect();
+    let mut reserves = BTreeMap::new();
+    for (domain, preferred) in preferences.iter().filter(|((s, _), _)| s == service) {
+        let is_available = |(id, engine): &(&InstanceId, &EngineInstance)| {
+            engine.service == domain.0
+                && engine.domain == domain.1
+                && !engine.leaving
+                && !view.unreachable.contains(*id)
+                && models.get(id).is_none_or(|model| *model == preferred)
+        };
+        let available = view.engines.iter().filter(is_available).count();
+        let group_size = profiles[preferred].group_size;
+        let reserve = SpareReserve {
+            preferred: preferred.clone(),
+            group_size,
+            spares: available / group_size.max(1),
+        };
+        reserves.insert(domain.clone(), reserve);
+    }
+    reserves
+}
