Log the prompt parts of a failed send, and whether it was answered

Change: requests carry the shared parts of their prompts; send_failed states them, and whether the response had continued after its first events.

--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -1,5 +1,7 @@
 //! Type aliases for the ids and counters shared by several packages.
 
+use std::collections::BTreeSet;
+
 /// Name of a turmerictack node, unique in a deployment.
 pub type NodeId = String;
 /// Name of an instance (a machine that runs an upstream or a node).
@@ -51,3 +53,7 @@
 pub type ModelId = String;
 /// Position of an event in a stream, as numbered by the upstream.
 pub type EventPosition = u64;
+/// Id of a part of a prompt, such as a system prompt, that several prompts may have in common.
+pub type PromptPartId = u64;
+/// Parts of one prompt that other prompts may have in common.
+pub type PromptParts = BTreeSet<PromptPartId>;
--- a/crates/serving/src/attempts.rs
+++ b/crates/serving/src/attempts.rs
@@ -25,6 +25,7 @@
     failed_upstreams: Vec<InstanceId>,
     last_send: Option<SendRecord>,
     first_event: Option<Duration>,
+    is_answered: bool,
 }
 
 /// Destination and load at the time of the latest send, for the log.
@@ -60,6 +61,7 @@
             failed_upstreams: Vec::new(),
             last_send: None,
             first_event: None,
+            is_answered: false,
         }
     }
 
@@ -99,6 +101,17 @@
         self.first_event
     }
 
+    /// Records that an upstream has continued its response after the first events.
+    pub fn record_answer(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// Whether an upstream has continued its response after the first events, so that the request
+    /// did not crash it.
+    pub fn is_answered(&self) -> bool {
+        self.is_answered
+    }
+
     /// Whether the limits on executions and sends allow another send.
     pub fn can_send_again(&self) -> bool {
         self.executions < self.max_executions && self.sends < self.max_executions + EXTRA_SENDS
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -163,7 +163,7 @@
                     }
                 }
                 SendResult::Failed(error) => {
-                    self.record_send_failure(&context, &upstream, &error);
+                    self.record_send_failure(&context, &attempts, &upstream, &error);
                     permit.release(outcome_of(&error));
                     attempts.record_failure(&upstream.instance, &error)
                 }
--- a/crates/serving/src/proxy/telemetry.rs
+++ b/crates/serving/src/proxy/telemetry.rs
@@ -9,7 +9,7 @@
     cadence::{Counted as _, Timed as _},
     http::StatusCode,
     std::time::Instant,
-    turmerictack_model::ids::InstanceId,
+    turmerictack_model::ids::{InstanceId, PromptParts},
     turmerictack_routing::quarantine::UpstreamLoss,
     turmerictack_telemetry::logs,
 };
@@ -27,6 +27,7 @@
     pub(crate) fn record_send_failure(
         &self,
         context: &RequestContext,
+        attempts: &Attempts,
         upstream: &Upstream,
         error: &SendError,
     ) {
@@ -46,6 +47,8 @@
             .with("upstream", &upstream.instance)
             .with("group", upstream.group.as_deref().unwrap_or("-"))
             .with("cause", error)
+            .with("answered", attempts.is_answered())
+            .with("prompt_parts", format_parts(&context.request.prompt_parts))
             .with("elapsed_ms", self.elapsed_ms(context))
             .info();
     }
@@ -129,3 +132,8 @@
         _ => None,
     }
 }
+
+/// Parts of a prompt for the log.
+fn format_parts(parts: &PromptParts) -> String {
+    parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join("+")
+}
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -8,7 +8,9 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    turmerictack_model::ids::{AccountId, ApiKey, EventPosition, ModelId, RequestId, ServiceId},
+    turmerictack_model::ids::{
+        AccountId, ApiKey, EventPosition, ModelId, PromptParts, RequestId, ServiceId,
+    },
 };
 
 /// Client request as forwarded to upstreams; routing does not look into it.
@@ -39,6 +41,8 @@
     pub client_timeout: Option<Duration>,
     /// Requested model.
     pub model: Option<ModelId>,
+    /// Parts of the prompt that other prompts may have in common.
+    pub prompt_parts: PromptParts,
     /// Position of the last event received, when the client resumes a stream.
     pub resume_after: Option<EventPosition>,
     /// Time at which the request head arrived.
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -86,7 +86,12 @@
                 }
                 Ok(Err(error)) => {
                     let upstream = Arc::clone(&active.permit.upstream);
-                    self.proxy.record_send_failure(&self.context, &upstream, &error);
+                    self.proxy.record_send_failure(
+                        &self.context,
+                        &self.attempts,
+                        &upstream,
+                        &error,
+                    );
                     self.fail_over(outcome_of(&error), false).await?;
                 }
                 Err(_) => {
@@ -103,6 +108,7 @@
     fn accept(&mut self, events: EventChunk) -> Option<Bytes> {
         let now = self.proxy.clock.now();
         let active = self.active.as_ref()?;
+        self.attempts.record_answer();
         let gap = now.saturating_duration_since(self.last_progress);
         self.last_progress = now;
         let key = active.permit.upstream.key;
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -8,7 +8,7 @@
     bytes::Bytes,
     http::{HeaderMap, Method, StatusCode},
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
@@ -264,6 +264,7 @@
         api_key: Some("key-1".to_owned()),
         client_timeout: Some(Duration::from_secs(4)),
         model: Some("m".to_owned()),
+        prompt_parts: BTreeSet::new(),
         resume_after: None,
         received_at: Instant::now(),
         raw: Arc::new(RawRequest {
