Quarantine prompt parts that crash engines

Callers saw: one engine after the other ended while requests with one part of a prompt came, and with each engine up to 17 streams of others broke. Cause: the quarantine identified a whole request by caller, path and body. No two of these requests are alike, so none was ever recognised. Change: when an engine has crashed (its address refuses connections), nodes record the shared parts of the prompts that it had not answered, and tell each other with their heartbeats. The parts that at least three crashes have in common are quarantined; parts that always occur together only together, so that prompts with a companion alone are still served. A part is cleared when an engine answers a prompt that contains it. Crashes within 100 ms count once. A node that restarts learns of known crashes, one a second. A request is checked on arrival and again when it has a slot, so that queued requests and retries are covered. Evidence: prompts_with_a_part_that_crashes_engines_stop_reaching_them failed before (30 sends from the sixth request on, at most 0).

--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -26,6 +26,8 @@
     Calls,
     /// Requests that crashed upstreams.
     Quarantine,
+    /// Parts of prompts that crashed engines.
+    PromptQuarantine,
     /// Retries sent in the last seconds, which the retry budget limits.
     RetryBudget,
     /// Counters of the error budget burn report.
--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -5,11 +5,11 @@
 
 use {
     bincode::{Decode, Encode},
-    turmerictack_model::ids::{Address, Incarnation, InstanceId, NodeId},
+    turmerictack_model::ids::{Address, Incarnation, InstanceId, NodeId, PromptPartId},
 };
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-pub const HEARTBEAT_VERSION: u16 = 2;
+pub const HEARTBEAT_VERSION: u16 = 3;
 
 /// Hash of an upstream's name, which keeps a heartbeat that lists dozens of upstreams small.
 pub type UpstreamKey = u32;
@@ -37,6 +37,17 @@
     pub upstream: InstanceId,
 }
 
+/// Prompt that was unanswered when its engine crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HeartbeatPromptCrash {
+    /// Hash that identifies the crash.
+    pub crash: u64,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u32,
+    /// Shared parts of the prompt.
+    pub parts: Vec<PromptPartId>,
+}
+
 /// State of one node.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Heartbeat {
@@ -60,4 +71,8 @@
     pub unresponsive: Vec<InstanceId>,
     /// Losses of upstreams while they were running a request.
     pub losses: Vec<HeartbeatUpstreamLoss>,
+    /// Prompts that were unanswered when their engines crashed.
+    pub prompt_crashes: Vec<HeartbeatPromptCrash>,
+    /// Parts of prompts that engines answered after a crash.
+    pub cleared_parts: Vec<PromptPartId>,
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod dispatch;
 pub mod limit;
 pub mod picker;
+pub mod prompt_quarantine;
 pub mod quarantine;
 pub mod upstream_set;
 
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -64,6 +64,8 @@
     pub group: Option<GroupId>,
     /// Whether a group member is missing or draining.
     pub is_incomplete: bool,
+    /// Start time of the instance, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
 }
 
 /// Pool key: a service and, if the service runs models, a model.
@@ -246,5 +248,6 @@
         slots: instance.slots,
         group,
         is_incomplete,
+        started_ms: instance.started_ms,
     }
 }
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -17,9 +17,12 @@
     },
     turmerictack_protocol::{
         codec::{decode, encode},
-        heartbeat::{HEARTBEAT_VERSION, Heartbeat, HeartbeatUpstreamLoss},
+        heartbeat::{HEARTBEAT_VERSION, Heartbeat, HeartbeatPromptCrash, HeartbeatUpstreamLoss},
+    },
+    turmerictack_routing::{
+        prompt_quarantine::{CrashReport, PromptUpdates},
+        quarantine::UpstreamLoss,
     },
-    turmerictack_routing::quarantine::UpstreamLoss,
     turmerictack_telemetry::logs,
 };
 
@@ -43,6 +46,13 @@
     pub incarnation: Incarnation,
 }
 
+/// Updates that are sent to each peer once, in the same round of heartbeats.
+#[derive(Debug, Default)]
+struct RoundUpdates {
+    losses: Vec<UpstreamLoss>,
+    prompts: PromptUpdates,
+}
+
 /// Sends heartbeats to peers and applies those received.
 pub struct HeartbeatExchange {
     tables: Arc<Tables>,
@@ -68,21 +78,24 @@
     }
 
     async fn send_loop(self: Arc<Self>) {
-        let mut losses = Vec::new();
+        let mut updates = RoundUpdates::default();
         loop {
             let batch = self.tables.peers.lock().next_heartbeat_batch(&self.identity.address);
             if batch.starts_round {
                 self.tables.balancer.lock().loads.mark_reported();
-                losses = self.tables.quarantine.lock().next_updates();
+                updates = RoundUpdates {
+                    losses: self.tables.quarantine.lock().next_updates(),
+                    prompts: self.tables.prompt_quarantine.lock().next_updates(self.clock.now()),
+                };
             }
-            self.broadcast(&batch.addresses, &losses).await;
+            self.broadcast(&batch.addresses, &updates).await;
             self.tables.dispatch_all_waiting(self.clock.now());
             sleep(HEARTBEAT_INTERVAL).await;
         }
     }
 
-    async fn broadcast(&self, addresses: &[Address], losses: &[UpstreamLoss]) {
-        match encode(&self.build_heartbeat(self.clock.now(), losses)) {
+    async fn broadcast(&self, addresses: &[Address], updates: &RoundUpdates) {
+        match encode(&self.build_heartbeat(self.clock.now(), updates)) {
             Ok(datagram) => {
                 for address in addresses {
                     self.transport.send(address, &datagram).await;
@@ -92,7 +105,7 @@
         }
     }
 
-    fn build_heartbeat(&self, now: Instant, losses: &[UpstreamLoss]) -> Heartbeat {
+    fn build_heartbeat(&self, now: Instant, updates: &RoundUpdates) -> Heartbeat {
         let (loads, unresponsive) = {
             let balancer = self.tables.balancer.lock();
             (balancer.loads.local_loads(now), balancer.loads.stalled_upstreams(now))
@@ -112,11 +125,9 @@
             is_leader,
             loads,
             unresponsive,
-            losses: losses
-                .iter()
-                .cloned()
-                .map(|l| HeartbeatUpstreamLoss { digest: l.digest, upstream: l.upstream })
-                .collect(),
+            losses: updates.losses.iter().map(encode_loss).collect(),
+            prompt_crashes: updates.prompts.crashes.iter().map(encode_crash).collect(),
+            cleared_parts: updates.prompts.cleared.clone(),
         }
     }
 
@@ -151,11 +162,16 @@
             balancer.loads.merge_peer_loads(now, &heartbeat.node, &heartbeat.loads);
             balancer.loads.record_suspects(now, heartbeat.unresponsive);
         }
-        let mut quarantine = self.tables.quarantine.lock();
-        for loss in heartbeat.losses {
-            quarantine
-                .record_loss(now, UpstreamLoss { digest: loss.digest, upstream: loss.upstream });
+        {
+            let mut quarantine = self.tables.quarantine.lock();
+            for loss in heartbeat.losses {
+                let loss = UpstreamLoss { digest: loss.digest, upstream: loss.upstream };
+                quarantine.record_loss(now, loss);
+            }
         }
+        let crashes = heartbeat.prompt_crashes.into_iter().map(decode_crash).collect();
+        let updates = PromptUpdates { crashes, cleared: heartbeat.cleared_parts };
+        self.tables.apply_prompt_updates(now, updates);
     }
 
     async fn poll_node_list(self: Arc<Self>) {
@@ -175,3 +191,23 @@
         }
     }
 }
+
+fn encode_loss(loss: &UpstreamLoss) -> HeartbeatUpstreamLoss {
+    HeartbeatUpstreamLoss { digest: loss.digest.clone(), upstream: loss.upstream.clone() }
+}
+
+fn encode_crash(report: &CrashReport) -> HeartbeatPromptCrash {
+    HeartbeatPromptCrash {
+        crash: report.crash,
+        age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
+        parts: report.parts.iter().copied().collect(),
+    }
+}
+
+fn decode_crash(crash: HeartbeatPromptCrash) -> CrashReport {
+    CrashReport {
+        crash: crash.crash,
+        age: Duration::from_millis(crash.age_ms.into()),
+        parts: crash.parts.into_iter().collect(),
+    }
+}
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -85,6 +85,9 @@
         request: UpstreamRequest,
     ) -> Result<UpstreamResponse, SendError>;
 
+    /// Whether the address refuses connections, as it does after the process there has ended.
+    async fn refuses_connections(&self, address: &Address) -> bool;
+
     /// Closes the idle connections to an instance that is gone or unreachable.
     fn close_idle_connections(&self, instance: &InstanceId);
 }
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -2,6 +2,7 @@
 
 mod context;
 mod permit;
+mod prompts;
 mod send;
 mod telemetry;
 
@@ -35,6 +36,9 @@
 /// Minimum retry delay suggested to clients.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Retry delay suggested to clients whose prompt is quarantined.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 /// Interval at which a request that waits for bytes checks whether its upstream is stalled.
 pub(crate) const STALL_CHECK: Duration = Duration::from_millis(150);
 
@@ -112,6 +116,9 @@
                 return Err(Rejection::not_executed(Reason::Quarantined, MIN_RETRY_AFTER));
             }
         }
+        if self.is_prompt_quarantined(request) {
+            return Err(Rejection::not_executed(Reason::Quarantined, QUARANTINE_RETRY_AFTER));
+        }
         let draw = self.tables.balancer.lock().rng.random::<u32>();
         let service = route
             .select_service(draw)
@@ -163,7 +170,7 @@
                     }
                 }
                 SendResult::Failed(error) => {
-                    self.record_send_failure(&context, &attempts, &upstream, &error);
+                    self.record_send_failure(&context, &attempts, &upstream, &error).await;
                     permit.release(outcome_of(&error));
                     attempts.record_failure(&upstream.instance, &error)
                 }
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -1,7 +1,7 @@
 //! Permits to send to an upstream, and the wait for one.
 
 use {
-    super::{MIN_RETRY_AFTER, Proxy, RequestContext},
+    super::{MIN_RETRY_AFTER, Proxy, QUARANTINE_RETRY_AFTER, RequestContext},
     crate::{
         attempts::{Attempts, SendRecord},
         directory::{PoolKey, Upstream},
@@ -53,10 +53,25 @@
 
 impl Proxy {
     /// Acquires a slot at an upstream, waiting in the queue if necessary.
+    ///
+    /// A request whose prompt was quarantined in the meantime is rejected.
     pub(crate) async fn acquire_permit(
         &self,
         context: &RequestContext,
         attempts: &Attempts,
+    ) -> Result<Permit, Rejection> {
+        let permit = self.wait_for_permit(context, attempts).await?;
+        if self.is_prompt_quarantined(&context.request) {
+            let reason = Reason::Quarantined;
+            return Err(rejection_after(attempts, reason, QUARANTINE_RETRY_AFTER));
+        }
+        Ok(permit)
+    }
+
+    async fn wait_for_permit(
+        &self,
+        context: &RequestContext,
+        attempts: &Attempts,
     ) -> Result<Permit, Rejection> {
         let now = self.clock.now();
         let elapsed = context.prior_elapsed();
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -123,7 +123,7 @@
                     attempts.record_execution(&upstream.instance);
                 }
                 SendResult::Failed(error) => {
-                    self.record_send_failure(context, attempts, &upstream, &error);
+                    self.record_send_failure(context, attempts, &upstream, &error).await;
                     permit.release(outcome_of(&error));
                     attempts.record_failure(&upstream.instance, &error);
                 }
@@ -172,11 +172,12 @@
                 }
                 Ok(Ok(None)) => {
                     permit.release(UpstreamOutcome::Success);
+                    self.record_answer(context, attempts);
                     self.record_served(context, attempts, head.status);
                     return Ok(Reply::Complete { head, body: Bytes::new() });
                 }
                 Ok(Err(error)) => {
-                    self.record_send_failure(context, attempts, &upstream, &error);
+                    self.record_send_failure(context, attempts, &upstream, &error).await;
                     permit.release(outcome_of(&error));
                     return Err(attempts.record_failure(&upstream.instance, &error));
                 }
@@ -207,7 +208,7 @@
         let body = match timeout(remaining, body.read_to_end()).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                self.record_send_failure(context, attempts, &upstream, &error);
+                self.record_send_failure(context, attempts, &upstream, &error).await;
                 permit.release(outcome_of(&error));
                 return Err(attempts.record_failure(&upstream.instance, &error));
             }
--- a/crates/serving/src/proxy/telemetry.rs
+++ b/crates/serving/src/proxy/telemetry.rs
@@ -4,12 +4,12 @@
     super::{Proxy, RequestContext, context::request_digest},
     crate::{
         attempts::Attempts, directory::Upstream, interfaces::SendError, rejection::Rejection,
-        request::Request,
+        request::Request, tables::format_parts,
     },
     cadence::{Counted as _, Timed as _},
     http::StatusCode,
     std::time::Instant,
-    turmerictack_model::ids::{InstanceId, PromptParts},
+    turmerictack_model::ids::InstanceId,
     turmerictack_routing::quarantine::UpstreamLoss,
     turmerictack_telemetry::logs,
 };
@@ -24,7 +24,7 @@
         self.tables.quarantine.lock().record_loss(self.clock.now(), loss);
     }
 
-    pub(crate) fn record_send_failure(
+    pub(crate) async fn record_send_failure(
         &self,
         context: &RequestContext,
         attempts: &Attempts,
@@ -33,6 +33,9 @@
     ) {
         if *error == SendError::ConnectionLost {
             self.record_upstream_loss(context, upstream);
+            if !attempts.is_answered() {
+                self.record_crash(context, upstream).await;
+            }
         }
         if *error == SendError::NotSent {
             self.upstream_client.close_idle_connections(&upstream.instance);
@@ -132,8 +135,3 @@
         _ => None,
     }
 }
-
-/// Parts of a prompt for the log.
-fn format_parts(parts: &PromptParts) -> String {
-    parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join("+")
-}
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -86,12 +86,9 @@
                 }
                 Ok(Err(error)) => {
                     let upstream = Arc::clone(&active.permit.upstream);
-                    self.proxy.record_send_failure(
-                        &self.context,
-                        &self.attempts,
-                        &upstream,
-                        &error,
-                    );
+                    self.proxy
+                        .record_send_failure(&self.context, &self.attempts, &upstream, &error)
+                        .await;
                     self.fail_over(outcome_of(&error), false).await?;
                 }
                 Err(_) => {
@@ -108,7 +105,7 @@
     fn accept(&mut self, events: EventChunk) -> Option<Bytes> {
         let now = self.proxy.clock.now();
         let active = self.active.as_ref()?;
-        self.attempts.record_answer();
+        self.proxy.record_answer(&self.context, &mut self.attempts);
         let gap = now.saturating_duration_since(self.last_progress);
         self.last_progress = now;
         let key = active.permit.upstream.key;
@@ -156,6 +153,7 @@
         if let Some(active) = self.active.take() {
             active.permit.release(UpstreamOutcome::Success);
         }
+        self.proxy.record_answer(&self.context, &mut self.attempts);
         self.proxy.record_served(&self.context, &self.attempts, StatusCode::OK);
     }
 
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -19,10 +19,14 @@
     },
     tokio::sync::oneshot,
     turmerictack_model::{
-        ids::{DataCentre, InstanceId},
+        ids::{DataCentre, InstanceId, PromptParts},
         table::{LockRank, Table},
     },
-    turmerictack_routing::quarantine::Quarantine,
+    turmerictack_routing::{
+        prompt_quarantine::{PromptQuarantine, PromptUpdates},
+        quarantine::Quarantine,
+    },
+    turmerictack_telemetry::logs,
 };
 
 /// Time since the last response of the store for which the view of the instances counts as fresh.
@@ -74,6 +78,8 @@
     pub queues: Table<Queues<Waiter>>,
     /// Requests during which upstreams were lost.
     pub quarantine: Table<Quarantine>,
+    /// Parts of prompts that crashed engines.
+    pub prompt_quarantine: Table<PromptQuarantine>,
     /// Budget for retries.
     pub retry_budget: Table<RetryBudget>,
     /// State of the node itself.
@@ -108,6 +114,7 @@
             balancer: Table::new(LockRank::Upstreams, balancer),
             queues: Table::new(LockRank::Admission, Queues::new()),
             quarantine: Table::new(LockRank::Quarantine, Quarantine::default()),
+            prompt_quarantine: Table::new(LockRank::PromptQuarantine, PromptQuarantine::default()),
             retry_budget: Table::new(LockRank::RetryBudget, RetryBudget::new(retry_budget)),
             lifecycle: Table::new(LockRank::Lifecycle, Lifecycle::default()),
         }
@@ -147,6 +154,28 @@
         self.lifecycle.lock().instances_synced_at.is_some_and(|at| now < at + INSTANCE_VIEW_TIMEOUT)
     }
 
+    /// Applies what another node has observed about prompts that crashed engines.
+    pub fn apply_prompt_updates(&self, now: Instant, updates: PromptUpdates) {
+        self.update_prompt_quarantine(|q| {
+            let has_expired = q.expire(now);
+            q.apply(now, updates) || has_expired
+        });
+    }
+
+    /// Updates the quarantine of prompt parts, and logs its content if `update` returns `true`.
+    pub(crate) fn update_prompt_quarantine(
+        &self,
+        update: impl FnOnce(&mut PromptQuarantine) -> bool,
+    ) {
+        let mut quarantine = self.prompt_quarantine.lock();
+        if update(&mut quarantine) {
+            let combinations = quarantine.quarantined().iter().map(format_parts);
+            logs::event("prompt_quarantine_changed")
+                .with("quarantined", combinations.collect::<Vec<_>>().join(","))
+                .info();
+        }
+    }
+
     /// Takes a slot at an upstream for a request, or queues it.
     pub fn place(
         &self,
@@ -247,3 +276,8 @@
         }
     }
 }
+
+/// Parts of a prompt for the log.
+pub(crate) fn format_parts(parts: &PromptParts) -> String {
+    parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join("+")
+}
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -14,7 +14,7 @@
     },
     turmerictack_groups::formation::{Membership, ModelProfile, Phase},
     turmerictack_model::{
-        clock::SystemClock,
+        clock::{Clock, SystemClock},
         ids::{Address, InstanceId},
     },
     turmerictack_serving::{
@@ -59,6 +59,10 @@
     pub default: Mutex<Option<ScriptedAction>>,
     pub sent: Mutex<Vec<(InstanceId, UpstreamRequest)>>,
     pub open_bodies: Arc<Mutex<i64>>,
+    /// Text in a request body that crashes an upstream.
+    pub crashing_text: Mutex<Option<&'static str>>,
+    /// Addresses of upstreams that have crashed, and so refuse connections.
+    pub crashed: Mutex<BTreeSet<Address>>,
 }
 
 impl ScriptedUpstreams {
@@ -118,10 +122,17 @@
     async fn send(
         &self,
         instance: &InstanceId,
-        _address: &Address,
+        address: &Address,
         request: UpstreamRequest,
     ) -> Result<UpstreamResponse, SendError> {
         let resume_after = request.resume_after;
+        let crashing_text = *self.crashing_text.lock().unwrap();
+        let body = String::from_utf8_lossy(&request.raw.body).into_owned();
+        if crashing_text.is_some_and(|text| body.contains(text)) {
+            self.sent.lock().unwrap().push((instance.clone(), request));
+            self.crashed.lock().unwrap().insert(address.clone());
+            return Err(SendError::ConnectionLost);
+        }
         self.sent.lock().unwrap().push((instance.clone(), request));
         let scripted = {
             let mut scripts = self.scripts.lock().unwrap();
@@ -152,6 +163,10 @@
         })
     }
 
+    async fn refuses_connections(&self, address: &Address) -> bool {
+        self.crashed.lock().unwrap().remove(address)
+    }
+
     fn close_idle_connections(&self, _instance: &InstanceId) {}
 }
 
@@ -244,12 +259,28 @@
     tables
 }
 
+/// Starts all group heads again.
+pub fn restart_heads(tables: &Tables, started_ms: u64) {
+    for at in 0..2 {
+        let head = Instance { started_ms, ..group_head(at) };
+        tables.directory.lock().insert(format!("e{at}"), head);
+    }
+    tables.rebuild_upstreams(Instant::now());
+}
+
 pub fn proxy(tables: &Arc<Tables>) -> (Arc<Proxy>, Arc<ScriptedUpstreams>) {
+    proxy_with_clock(tables, Arc::new(SystemClock::default()))
+}
+
+pub fn proxy_with_clock(
+    tables: &Arc<Tables>,
+    clock: Arc<dyn Clock>,
+) -> (Arc<Proxy>, Arc<ScriptedUpstreams>) {
     let upstreams = Arc::new(ScriptedUpstreams::default());
     let proxy = Arc::new(Proxy {
         tables: Arc::clone(tables),
         upstream_client: upstreams.clone(),
-        clock: Arc::new(SystemClock::default()),
+        clock,
         metrics: Arc::new(Registry::default().client()),
         data_centre: DATA_CENTRE.to_owned(),
     });
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -40,6 +40,7 @@
         slots: 2,
         group: None,
         is_incomplete: false,
+        started_ms: 1,
     })
 }
 
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -5,10 +5,11 @@
 mod common;
 
 use {
-    common::{ScriptedAction, StreamEnd, proxy, request, tables},
+    common::{ScriptedAction, StreamEnd, proxy, proxy_with_clock, request, restart_heads, tables},
     rstest::rstest,
     std::{sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
+    turmerictack_model::clock::{Clock as _, ManualClock},
     turmerictack_serving::{
         interfaces::SendError,
         proxy::Proxy,
@@ -279,3 +280,59 @@
     let now = std::time::Instant::now();
     balancer.loads.local_loads(now).iter().map(|l| u32::from(l.in_flight)).sum()
 }
+
+/// A request whose prompt has these shared parts; no two are alike.
+fn prompt(clock: &ManualClock, id: usize, parts: &[u64]) -> turmerictack_serving::request::Request {
+    let mut request = request("notes");
+    request.id = format!("r-{id}");
+    request.received_at = clock.now();
+    request.prompt_parts = parts.iter().copied().collect();
+    let raw = Arc::make_mut(&mut request.raw);
+    raw.body = format!("{id} {parts:?}").into();
+    request
+}
+
+#[rstest]
+#[tokio::test]
+async fn prompts_with_a_part_that_crashes_engines_stop_reaching_them() {
+    const DEADLY: u64 = 999_999;
+    let tables = tables();
+    let clock = Arc::new(ManualClock::default());
+    let (proxy, upstreams) = proxy_with_clock(&tables, clock.clone());
+    *upstreams.crashing_text.lock().unwrap() = Some("999999");
+    upstreams.set_default(ScriptedAction::Stream { last: 3, end: StreamEnd::Complete });
+    let mut deadly_sends = Vec::new();
+    for at in 0..20 {
+        let before = upstreams.sends();
+        proxy.serve(prompt(&clock, 2 * at, &[at as u64, DEADLY])).await;
+        deadly_sends.push(upstreams.sends() - before);
+        restart_heads(&tables, at as u64 + 2);
+        clock.advance(Duration::from_secs(2));
+        let Reply::Stream { mut events, .. } =
+            proxy.serve(prompt(&clock, 2 * at + 1, &[at as u64])).await
+        else {
+            panic!("a prompt without the crashing part was not served")
+        };
+        while events.next().await.unwrap().is_some() {}
+        clock.advance(Duration::from_secs(2));
+    }
+    assert!(deadly_sends[0] > 0);
+    assert_eq!(deadly_sends[5..].iter().sum::<usize>(), 0, "sends: {deadly_sends:?}");
+}
+
+#[rstest]
+#[tokio::test]
+async fn connections_that_live_upstreams_reset_condemn_no_prompt() {
+    let tables = tables();
+    let clock = Arc::new(ManualClock::default());
+    let (proxy, upstreams) = proxy_with_clock(&tables, clock.clone());
+    upstreams.set_default(ScriptedAction::Fail(SendError::ConnectionLost));
+    for at in 0..6 {
+        proxy.serve(prompt(&clock, at, &[1])).await;
+        restart_heads(&tables, at as u64 + 2);
+        clock.advance(Duration::from_secs(2));
+    }
+    upstreams.set_default(ScriptedAction::Stream { last: 3, end: StreamEnd::Complete });
+    let reply = proxy.serve(prompt(&clock, 7, &[1])).await;
+    assert!(matches!(reply, Reply::Stream { .. }));
+}
