Send no more requests to an instance that states it is leaving

Cause: only the platform's list was asked, which may show the departure later or, while the store is unavailable, not at all. An instance that states that it is leaving is taken out of the pools of this node, and counts as leaving in group control, until it has started again.

--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -79,6 +79,8 @@
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
     removals: BTreeMap<InstanceId, Instant>,
+    /// Start times of the instances that stated in a response that they are leaving.
+    leaving: BTreeMap<InstanceId, u64>,
     departures: Departures,
     pools: Arc<UpstreamPools>,
     version: u64,
@@ -118,6 +120,17 @@
         }
     }
 
+    /// Records that the run of an instance that began at `started_ms` is about to be stopped, which
+    /// the listing may not show yet; returns `false` if that was known.
+    pub fn mark_leaving(&mut self, id: &InstanceId, started_ms: u64) -> bool {
+        self.leaving.insert(id.clone(), started_ms) != Some(started_ms)
+    }
+
+    /// Whether an instance is about to be stopped.
+    fn is_leaving(&self, id: &InstanceId, instance: &Instance) -> bool {
+        instance.draining || self.leaving.get(id) == Some(&instance.started_ms)
+    }
+
     /// Replaces the listing; instances missing from it are scheduled for removal at `at`.
     pub fn replace_all(&mut self, listed: BTreeMap<InstanceId, Instance>, at: Instant) {
         let missing: Vec<InstanceId> =
@@ -142,6 +155,7 @@
         for id in &due {
             self.removals.remove(id);
             self.instances.remove(id);
+            self.leaving.remove(id);
         }
         due
     }
@@ -159,9 +173,9 @@
         }
         self.departures.expire(now);
         let mut members: BTreeMap<(&GroupId, u64), usize> = BTreeMap::new();
-        for instance in self.instances.values() {
+        for (id, instance) in &self.instances {
             if let Some(m) = instance.membership()
-                && !instance.draining
+                && !self.is_leaving(id, instance)
                 && matches!(m.phase, Phase::Ready | Phase::Open)
             {
                 *members.entry((&m.group, m.epoch)).or_default() += 1;
@@ -169,7 +183,7 @@
         }
         let mut pools = UpstreamPools::new();
         for (id, instance) in &self.instances {
-            if instance.draining {
+            if self.is_leaving(id, instance) {
                 continue;
             }
             let Some(service) = config.services.get(&instance.service) else { continue };
@@ -204,7 +218,10 @@
     pub fn engine_instances(&self) -> BTreeMap<InstanceId, EngineInstance> {
         self.instances
             .iter()
-            .filter_map(|(id, i)| Some((id.clone(), i.to_engine_instance()?)))
+            .filter_map(|(id, instance)| {
+                let leaving = self.is_leaving(id, instance);
+                Some((id.clone(), EngineInstance { leaving, ..instance.to_engine_instance()? }))
+            })
             .collect()
     }
 }
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -71,19 +71,39 @@
     pub body: Box<dyn ResponseBody>,
 }
 
+/// What an upstream states about itself in a response, whatever its status.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamNotice {
+    /// Whether it is about to be stopped and takes no new requests.
+    pub is_leaving: bool,
+    /// Time for which it wants no further requests from this node.
+    pub pause: Option<Duration>,
+}
+
+/// Result of sending a request.
+pub struct SendReport {
+    /// The response, or why there is none.
+    pub result: Result<UpstreamResponse, SendError>,
+    /// What the upstream stated about itself.
+    pub notice: UpstreamNotice,
+}
+
+impl From<SendError> for SendReport {
+    fn from(error: SendError) -> Self {
+        Self { result: Err(error), notice: UpstreamNotice::default() }
+    }
+}
+
 /// Client that sends requests to upstreams.
 #[async_trait]
 pub trait UpstreamClient: Send + Sync {
     /// Sends a request to an instance and waits for the response head.
-    ///
-    /// # Errors
-    /// Any [`SendError`].
     async fn send(
         &self,
         instance: &InstanceId,
         address: &Address,
         request: UpstreamRequest,
-    ) -> Result<UpstreamResponse, SendError>;
+    ) -> SendReport;
 
     /// Whether the address refuses connections, as it does after the process there has ended.
     async fn refuses_connections(&self, address: &Address) -> bool;
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -5,7 +5,7 @@
     crate::{
         attempts::{Attempts, NextStep},
         directory::Upstream,
-        interfaces::{SendError, UpstreamResponse},
+        interfaces::{SendError, UpstreamNotice, UpstreamResponse},
         load::{OVERLOAD_COOLDOWN, UNREACHABLE_COOLDOWN, UpstreamOutcome},
         rejection::Reason,
         request::{Reply, ResponseHead},
@@ -53,8 +53,13 @@
                 return SendResult::DeadlineExceeded;
             }
             match timeout(remaining.min(STALL_CHECK), &mut pending_response).await {
-                Ok(Ok(response)) => return SendResult::Responded(response),
-                Ok(Err(error)) => return SendResult::Failed(error),
+                Ok(report) => {
+                    self.apply_notice(upstream, report.notice);
+                    return match report.result {
+                        Ok(response) => SendResult::Responded(response),
+                        Err(error) => SendResult::Failed(error),
+                    };
+                }
                 Err(_) if may_fail_over && self.try_leave_stalled(context, upstream, attempts) => {
                     return SendResult::Stalled;
                 }
@@ -63,6 +68,15 @@
         }
     }
 
+    /// Applies what an upstream stated about itself.
+    fn apply_notice(&self, upstream: &Upstream, notice: UpstreamNotice) {
+        let now = self.clock.now();
+        if notice.is_leaving && self.tables.mark_leaving(now, upstream) {
+            self.upstream_client.close_idle_connections(&upstream.instance);
+            logs::event("upstream_leaving").with("upstream", &upstream.instance).info();
+        }
+    }
+
     /// Whether to move a request away from a stalled upstream; if so, takes a retry from the
     /// budget.
     ///
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -149,6 +149,16 @@
         self.dispatch_all_waiting(now);
     }
 
+    /// Takes no more requests to an upstream that is about to be stopped; returns `false` if that was
+    /// known.
+    pub fn mark_leaving(&self, now: Instant, upstream: &Upstream) -> bool {
+        let is_new = self.directory.lock().mark_leaving(&upstream.instance, upstream.started_ms);
+        if is_new {
+            self.rebuild_upstreams(now);
+        }
+        is_new
+    }
+
     /// Whether the view of the instances is recent enough to act on.
     pub fn has_fresh_view(&self, now: Instant) -> bool {
         self.lifecycle.lock().instances_synced_at.is_some_and(|at| now < at + INSTANCE_VIEW_TIMEOUT)
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -20,7 +20,10 @@
     turmerictack_serving::{
         config::{Account, Config, EngineProfile, Limits, RetryPolicy, Route, Service},
         directory::{EngineState, Instance},
-        interfaces::{EventChunk, ResponseBody, SendError, UpstreamClient, UpstreamResponse},
+        interfaces::{
+            EventChunk, ResponseBody, SendError, SendReport, UpstreamClient, UpstreamNotice,
+            UpstreamResponse,
+        },
         proxy::Proxy,
         request::{RawRequest, Request, ResponseHead, UpstreamRequest},
         retry_budget::RetryBudgetConfig,
@@ -59,6 +62,8 @@
     pub default: Mutex<Option<ScriptedAction>>,
     pub sent: Mutex<Vec<(InstanceId, UpstreamRequest)>>,
     pub open_bodies: Arc<Mutex<i64>>,
+    /// What upstreams state about themselves in all responses.
+    pub notice: Mutex<Option<UpstreamNotice>>,
     /// Text in a request body that crashes an upstream.
     pub crashing_text: Mutex<Option<&'static str>>,
     /// Addresses of upstreams that have crashed, and so refuse connections.
@@ -124,14 +129,15 @@
         instance: &InstanceId,
         address: &Address,
         request: UpstreamRequest,
-    ) -> Result<UpstreamResponse, SendError> {
+    ) -> SendReport {
+        let notice = self.notice.lock().unwrap().unwrap_or_default();
         let resume_after = request.resume_after;
         let crashing_text = *self.crashing_text.lock().unwrap();
         let body = String::from_utf8_lossy(&request.raw.body).into_owned();
         if crashing_text.is_some_and(|text| body.contains(text)) {
             self.sent.lock().unwrap().push((instance.clone(), request));
             self.crashed.lock().unwrap().insert(address.clone());
-            return Err(SendError::ConnectionLost);
+            return SendError::ConnectionLost.into();
         }
         self.sent.lock().unwrap().push((instance.clone(), request));
         let scripted = {
@@ -140,7 +146,7 @@
         };
         let action = scripted.or(self.default.lock().unwrap().clone());
         let (status, body) = match action {
-            Some(ScriptedAction::Fail(error)) => return Err(error),
+            Some(ScriptedAction::Fail(error)) => return SendReport { result: Err(error), notice },
             Some(ScriptedAction::Hang) | None => return std::future::pending().await,
             Some(ScriptedAction::Respond(status, text)) => {
                 (status, (0, 0, StreamEnd::ConnectionLost, Some(text)))
@@ -153,14 +159,15 @@
         let (next, last, end, text) = body;
         let body =
             ScriptedBody { next, last, end, text, open_bodies: Arc::clone(&self.open_bodies) };
-        Ok(UpstreamResponse {
+        let response = UpstreamResponse {
             head: ResponseHead {
                 status: StatusCode::from_u16(status).unwrap(),
                 headers: HeaderMap::new(),
             },
             is_success: (200..300).contains(&status),
             body: Box::new(body),
-        })
+        };
+        SendReport { result: Ok(response), notice }
     }
 
     async fn refuses_connections(&self, address: &Address) -> bool {
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -7,11 +7,12 @@
 use {
     common::{ScriptedAction, StreamEnd, proxy, proxy_with_clock, request, restart_heads, tables},
     rstest::rstest,
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
     turmerictack_model::clock::{Clock as _, ManualClock},
     turmerictack_serving::{
-        interfaces::SendError,
+        directory::Instance,
+        interfaces::{SendError, UpstreamNotice},
         proxy::Proxy,
         rejection::{ExecutionStatus, Reason, Rejection},
         request::Reply,
@@ -336,3 +337,48 @@
     let reply = proxy.serve(prompt(&clock, 7, &[1])).await;
     assert!(matches!(reply, Reply::Stream { .. }));
 }
+
+/// Instances to which `count` lookups are sent.
+async fn lookup_upstreams(
+    proxy: &Arc<Proxy>,
+    upstreams: &common::ScriptedUpstreams,
+    clock: &ManualClock,
+    count: usize,
+) -> BTreeSet<String> {
+    upstreams.sent.lock().unwrap().clear();
+    for _ in 0..count {
+        let mut request = request("look");
+        request.received_at = clock.now();
+        proxy.serve(request).await;
+    }
+    upstreams.sent.lock().unwrap().iter().map(|(instance, _)| instance.clone()).collect()
+}
+
+#[rstest]
+#[tokio::test]
+async fn upstream_that_states_it_is_leaving_gets_no_more_requests() {
+    let tables = tables();
+    let clock = Arc::new(ManualClock::default());
+    let (proxy, upstreams) = proxy_with_clock(&tables, clock.clone());
+    upstreams.set_default(ScriptedAction::Respond(200, "yes"));
+    *upstreams.notice.lock().unwrap() = Some(UpstreamNotice { is_leaving: true, pause: None });
+    let leaving = lookup_upstreams(&proxy, &upstreams, &clock, 1).await;
+    *upstreams.notice.lock().unwrap() = None;
+    let others = lookup_upstreams(&proxy, &upstreams, &clock, 20).await;
+    assert!(others.is_disjoint(&leaving), "{others:?}");
+    // The listing does not show it yet; only a new run of the instance takes requests again.
+    for id in &leaving {
+        let again = common::plain_instance(10);
+        tables.directory.lock().insert(id.clone(), again);
+    }
+    tables.rebuild_upstreams(clock.now());
+    let others = lookup_upstreams(&proxy, &upstreams, &clock, 20).await;
+    assert!(others.is_disjoint(&leaving), "{others:?}");
+    for id in &leaving {
+        let restarted = Instance { started_ms: 2, ..common::plain_instance(10) };
+        tables.directory.lock().insert(id.clone(), restarted);
+    }
+    tables.rebuild_upstreams(clock.now());
+    let all = lookup_upstreams(&proxy, &upstreams, &clock, 40).await;
+    assert!(all.is_superset(&leaving), "{all:?}");
+}
