Respect the pause that an overloaded instance asks for

Cause: a rejected request put its upstream on hold for 100 ms, whatever the response said, and any success there ended the hold. Change: the pause is kept apart from the hold and ends only with its time, or with a new start of the instance. If all upstreams of a pool want no requests for longer than a request may wait, it is rejected at once, with the end of the first pause as Retry-After. Evidence: upstream_that_asks_for_a_pause_gets_no_requests_until_its_end; before, no code read the header.

--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -31,6 +31,9 @@
 /// Time without new requests for an upstream that could not be reached.
 pub const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(1_000);
 
+/// Longest pause that an upstream may ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(3_600);
+
 /// Time for which an instance that was reported stalled stays suspected.
 const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -60,6 +63,8 @@
     last_progress: Option<Instant>,
     peer_last_progress: Option<Instant>,
     cooldown_until: Option<Instant>,
+    /// Start time of the run of the upstream that asked for a pause, and the end of the pause.
+    pause: Option<(u64, Instant)>,
     failure_rate: f64,
     event_interval_ms: Option<f64>,
     send_rate: SendRate,
@@ -225,6 +230,38 @@
     fn is_cooling_down(&self, now: Instant, upstream: &Upstream) -> bool {
         let load = self.by_key.get(&upstream.key);
         load.and_then(|l| l.cooldown_until).is_some_and(|until| now < until)
+            || self.paused_until(upstream).is_some_and(|until| now < until)
+    }
+
+    /// End of the pause that this run of an upstream asked for.
+    fn paused_until(&self, upstream: &Upstream) -> Option<Instant> {
+        let (started_ms, until) = self.by_key.get(&upstream.key)?.pause?;
+        (started_ms == upstream.started_ms).then_some(until)
+    }
+
+    /// Sends an upstream no requests for a while, because it asked for that.
+    pub fn pause(&mut self, now: Instant, upstream: &Upstream, pause: Duration) {
+        let until = now + pause.min(MAX_PAUSE);
+        let load = self.entry(now, upstream.key);
+        let current = load.pause.filter(|(started_ms, _)| *started_ms == upstream.started_ms);
+        let until = current.map_or(until, |(_, current)| current.max(until));
+        load.pause = Some((upstream.started_ms, until));
+    }
+
+    /// Time at which the first of these upstreams takes requests again, if all of them have asked
+    /// for a pause.
+    pub fn earliest_resume(
+        &self,
+        now: Instant,
+        upstreams: &[Arc<Upstream>],
+        excluded: &[InstanceId],
+    ) -> Option<Instant> {
+        let mut earliest: Option<Instant> = None;
+        for upstream in upstreams.iter().filter(|u| !excluded.contains(&u.instance)) {
+            let until = self.paused_until(upstream).filter(|until| now < *until)?;
+            earliest = Some(earliest.map_or(until, |at| at.min(until)));
+        }
+        earliest
     }
 
     fn is_healthy(&self, now: Instant, upstream: &Upstream) -> bool {
@@ -388,6 +425,7 @@
             last_progress: None,
             peer_last_progress: None,
             cooldown_until: None,
+            pause: None,
             failure_rate: 0.0,
             event_interval_ms: None,
             send_rate: SendRate { per_second: 0.0, updated_at: now },
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -71,6 +71,13 @@
     /// Applies what an upstream stated about itself.
     fn apply_notice(&self, upstream: &Upstream, notice: UpstreamNotice) {
         let now = self.clock.now();
+        if let Some(pause) = notice.pause {
+            self.tables.balancer.lock().loads.pause(now, upstream, pause);
+            logs::event("upstream_paused")
+                .with("upstream", &upstream.instance)
+                .with("pause_ms", pause.as_millis())
+                .info();
+        }
         if notice.is_leaving && self.tables.mark_leaving(now, upstream) {
             self.upstream_client.close_idle_connections(&upstream.instance);
             logs::event("upstream_leaving").with("upstream", &upstream.instance).info();
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -219,6 +219,10 @@
                 Selection::NoCandidate | Selection::Saturated => {}
             }
         }
+        let resumes_at = balancer.loads.earliest_resume(now, upstreams, excluded);
+        if let Some(resumes_at) = resumes_at.filter(|at| *at > params.expires_at) {
+            return Placement::WaitTooLong(resumes_at.saturating_duration_since(now));
+        }
         match queue.admit(now, &params) {
             Admission::Queued => {
                 let (assignment, assigned) = oneshot::channel();
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -382,3 +382,36 @@
     let all = lookup_upstreams(&proxy, &upstreams, &clock, 40).await;
     assert!(all.is_superset(&leaving), "{all:?}");
 }
+
+#[rstest]
+#[tokio::test]
+async fn upstream_that_asks_for_a_pause_gets_no_requests_until_its_end() {
+    const PAUSE: Duration = Duration::from_secs(5);
+    let tables = tables();
+    let clock = Arc::new(ManualClock::default());
+    let (proxy, upstreams) = proxy_with_clock(&tables, clock.clone());
+    upstreams.set_default(ScriptedAction::Respond(200, "yes"));
+    upstreams.script("p0", [ScriptedAction::Fail(SendError::Overloaded)]);
+    *upstreams.notice.lock().unwrap() =
+        Some(UpstreamNotice { is_leaving: false, pause: Some(PAUSE) });
+    while !lookup_upstreams(&proxy, &upstreams, &clock, 1).await.contains("p0") {}
+    *upstreams.notice.lock().unwrap() = None;
+    // Both instances have asked for the pause, since the request was sent to the other one next.
+    let rejection = expect_rejection_at(&proxy, &clock, "look").await;
+    assert_eq!(rejection.reason, Reason::PredictedWait);
+    assert!(rejection.retry_after.is_some());
+    assert!(lookup_upstreams(&proxy, &upstreams, &clock, 5).await.is_empty());
+    clock.advance(PAUSE - Duration::from_millis(1));
+    assert!(lookup_upstreams(&proxy, &upstreams, &clock, 5).await.is_empty());
+    clock.advance(Duration::from_millis(1));
+    assert_eq!(lookup_upstreams(&proxy, &upstreams, &clock, 40).await.len(), 2);
+}
+
+async fn expect_rejection_at(proxy: &Arc<Proxy>, clock: &ManualClock, route: &str) -> Rejection {
+    let mut request = request(route);
+    request.received_at = clock.now();
+    match proxy.serve(request).await {
+        Reply::Rejected(rejection) => rejection,
+        Reply::Complete { .. } | Reply::Stream { .. } => panic!("not rejected"),
+    }
+}
