Check the quarantine again when a request gets its slot

Callers would see: a request that crashes engines sent once more after it was recognised, from a queue or as a retry; each send breaks the streams of others. Cause: the quarantine of whole requests was only asked on arrival. Evidence: request_that_is_quarantined_while_it_waits_is_not_sent failed before.

--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -110,11 +110,8 @@
             return Err(Rejection::invalid(Reason::UnknownKey));
         };
         let digest = self.quarantine_digest(route, account.as_ref(), request);
-        if let Some(digest) = &digest {
-            let now = self.clock.now();
-            if self.tables.quarantine.lock().loss_count(now, digest) >= QUARANTINE_AFTER_LOSSES {
-                return Err(Rejection::not_executed(Reason::Quarantined, MIN_RETRY_AFTER));
-            }
+        if digest.as_ref().is_some_and(|digest| self.has_too_many_losses(digest)) {
+            return Err(Rejection::not_executed(Reason::Quarantined, MIN_RETRY_AFTER));
         }
         if self.is_prompt_quarantined(request) {
             return Err(Rejection::not_executed(Reason::Quarantined, QUARANTINE_RETRY_AFTER));
@@ -139,6 +136,19 @@
         (!is_quarantine_empty).then(|| request_digest(route, account, request))
     }
 
+    fn has_too_many_losses(&self, digest: &Digest) -> bool {
+        let now = self.clock.now();
+        self.tables.quarantine.lock().loss_count(now, digest) >= QUARANTINE_AFTER_LOSSES
+    }
+
+    /// Whether a request that has been routed is quarantined now.
+    fn is_request_quarantined(&self, context: &RequestContext) -> bool {
+        let digest = context.digest.clone().or_else(|| {
+            self.quarantine_digest(&context.route, context.account.as_ref(), &context.request)
+        });
+        digest.is_some_and(|digest| self.has_too_many_losses(&digest))
+    }
+
     async fn execute(self: &Arc<Self>, context: RequestContext) -> Reply {
         let mut attempts = Attempts::new(context.route.is_retryable(), context.route.max_attempts);
         let mut failure: Option<(ResponseHead, Bytes)> = None;
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -54,14 +54,14 @@
 impl Proxy {
     /// Acquires a slot at an upstream, waiting in the queue if necessary.
     ///
-    /// A request whose prompt was quarantined in the meantime is rejected.
+    /// A request that was quarantined in the meantime, by itself or for its prompt, is rejected.
     pub(crate) async fn acquire_permit(
         &self,
         context: &RequestContext,
         attempts: &Attempts,
     ) -> Result<Permit, Rejection> {
         let permit = self.wait_for_permit(context, attempts).await?;
-        if self.is_prompt_quarantined(&context.request) {
+        if self.is_request_quarantined(context) || self.is_prompt_quarantined(&context.request) {
             let reason = Reason::Quarantined;
             return Err(rejection_after(attempts, reason, QUARANTINE_RETRY_AFTER));
         }
