Keep the load of a peer until its next heartbeats are due

Callers would see: in clusters of more than 240 nodes, full upstreams taken for free ones. Cause: the load that a peer reported was dropped after 1.5 s, but a round of heartbeats takes longer there. Evidence: load_of_a_peer_counts_until_its_next_heartbeat failed before at 380 nodes (238 of 379 peers counted), not at 9 and 85.

--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -1,7 +1,10 @@
 //! Requests in flight at each upstream, over all nodes, and the choice between upstreams.
 
 use {
-    crate::directory::Upstream,
+    crate::{
+        directory::Upstream,
+        membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
+    },
     rand::{Rng, RngExt as _},
     std::{
         collections::BTreeMap,
@@ -19,8 +22,8 @@
 /// Time without any event after which an upstream with requests in flight counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Age at which the load reported by a peer is discarded.
-const PEER_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Minimum age at which the load reported by a peer is discarded.
+const MIN_PEER_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time after its last event during which an upstream counts as making progress.
 const PROGRESS_WINDOW: Duration = Duration::from_secs(1);
@@ -353,7 +356,9 @@
     }
 
     fn update_peer_totals(&mut self, now: Instant) {
-        self.peer_loads.retain(|_, p| now < p.received_at + PEER_LOAD_TIMEOUT);
+        let round = heartbeat_round(self.peer_loads.len());
+        let timeout = MIN_PEER_LOAD_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS);
+        self.peer_loads.retain(|_, p| now < p.received_at + timeout);
         let mut totals: BTreeMap<UpstreamKey, u32> = BTreeMap::new();
         for (key, in_flight) in self.peer_loads.values().flat_map(|p| &p.in_flight) {
             *totals.entry(*key).or_default() += in_flight;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -24,7 +24,13 @@
 const MIN_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Number of heartbeats in a row that must be missing for a node to count as dead.
-const MAX_MISSED_HEARTBEATS: u32 = 3;
+pub const MAX_MISSED_HEARTBEATS: u32 = 3;
+
+/// Time in which a node sends a heartbeat to each of its peers.
+pub fn heartbeat_round(peers: usize) -> Duration {
+    let intervals = u32::try_from(peers.div_ceil(MAX_HEARTBEATS_PER_INTERVAL));
+    HEARTBEAT_INTERVAL * intervals.unwrap_or(u32::MAX)
+}
 
 /// Rendezvous hashing key that ranks nodes for leadership.
 const LEADER_KEY: &str = "groups";
@@ -128,9 +134,7 @@
 
     /// Time without a heartbeat after which a node counts as dead.
     fn heartbeat_timeout(&self) -> Duration {
-        let nodes = self.registered.len().max(self.peers.len());
-        let intervals = u32::try_from(nodes.div_ceil(MAX_HEARTBEATS_PER_INTERVAL));
-        let round = HEARTBEAT_INTERVAL * intervals.unwrap_or(u32::MAX);
+        let round = heartbeat_round(self.registered.len().max(self.peers.len()));
         MIN_HEARTBEAT_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS)
     }
 
--- a/crates/serving/tests/heartbeats.rs
+++ b/crates/serving/tests/heartbeats.rs
@@ -16,9 +16,12 @@
     },
     tokio::time::sleep,
     turmerictack_model::{clock::SystemClock, ids::Address},
+    turmerictack_protocol::heartbeat::HeartbeatLoad,
     turmerictack_serving::{
+        directory::upstream_key,
         heartbeat::{HeartbeatExchange, NodeIdentity},
         interfaces::{NodeList, PeerTransport},
+        load::LoadTracker,
         membership::{LeaderStatus, PeerTable},
     },
 };
@@ -114,3 +117,20 @@
     }
     assert_eq!(table.live_count(now), 2);
 }
+
+#[rstest]
+fn load_of_a_peer_counts_until_its_next_heartbeat(#[values(9, 85, 380)] nodes: usize) {
+    let key = upstream_key("upstream");
+    let load = HeartbeatLoad { upstream: key, in_flight: 1, progressing: true, stalled: false };
+    let mut loads = LoadTracker::default();
+    let mut now = Instant::now();
+    let round = Duration::from_millis(50) * nodes.div_ceil(8) as u32;
+    // Two rounds, in which the heartbeats of the peers arrive at equal intervals.
+    for _ in 0..2 {
+        for peer in 1..nodes {
+            now += round / nodes as u32;
+            loads.merge_peer_loads(now, &format!("n{peer}"), &[load]);
+        }
+    }
+    assert_eq!(loads.in_flight(key) as usize, nodes - 1);
+}
