--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod request;
 pub mod response_time;
 pub mod retry_budget;
+mod spread;
 pub mod stream;
 pub mod tables;
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -4,8 +4,9 @@
     crate::{
         directory::Upstream,
         membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
+        spread::{SendRate, choose_below_level},
     },
-    rand::{Rng, RngExt as _},
+    rand::Rng,
     std::{
         collections::BTreeMap,
         sync::Arc,
@@ -49,9 +50,6 @@
 /// Failure rate at which an upstream counts as unhealthy.
 const MAX_FAILURE_RATE: f64 = 0.3;
 
-/// Time constant of the moving average of the send rate.
-const SEND_RATE_WINDOW: Duration = Duration::from_secs(2);
-
 /// Weight of the latest interval in the moving average of the time between events.
 const INTERVAL_EWMA_WEIGHT: f64 = 0.2;
 
@@ -73,25 +71,6 @@
     send_rate: SendRate,
 }
 
-/// Moving average of the rate of requests that this node sends.
-#[derive(Clone, Copy, Debug)]
-struct SendRate {
-    per_second: f64,
-    updated_at: Instant,
-}
-
-impl SendRate {
-    fn per_second(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.updated_at);
-        self.per_second * (-age.as_secs_f64() / SEND_RATE_WINDOW.as_secs_f64()).exp()
-    }
-
-    fn record_send(&mut self, now: Instant) {
-        self.per_second = self.per_second(now) + 1.0 / SEND_RATE_WINDOW.as_secs_f64();
-        self.updated_at = now;
-    }
-}
-
 /// Load last reported by one peer.
 #[derive(Debug)]
 struct PeerLoads {
@@ -433,39 +412,7 @@
             pause: None,
             failure_rate: 0.0,
             event_interval_ms: None,
-            send_rate: SendRate { per_second: 0.0, updated_at: now },
+            send_rate: SendRate::new(now),
         })
     }
 }
-
-/// Chooses an upstream so that, if all nodes choose from the same scores, `sends` requests raise
-/// the lowest ones to a common level.
-///
-/// Nodes with the same view would otherwise all send to the upstream with the lowest score until
-/// they learn of each other's requests.
-fn choose_below_level<'a>(
-    scores: &[(f64, &'a Arc<Upstream>)],
-    sends: f64,
-    rng: &mut dyn Rng,
-) -> Option<&'a Arc<Upstream>> {
-    let mut sorted: Vec<f64> = scores.iter().map(|(score, _)| *score).collect();
-    sorted.sort_by(f64::total_cmp);
-    let mut below = 0.0;
-    let mut level = f64::INFINITY;
-    for (at, score) in sorted.iter().enumerate() {
-        if *score >= level {
-            break;
-        }
-        below += score;
-        level = (sends + below) / (at + 1) as f64;
-    }
-    let total: f64 = scores.iter().map(|(score, _)| (level - score).max(0.0)).sum();
-    let mut draw = rng.random::<f64>() * total;
-    for (score, upstream) in scores {
-        draw -= (level - score).max(0.0);
-        if draw < 0.0 {
-            return Some(upstream);
-        }
-    }
-    scores.last().map(|(_, upstream)| *upstream)
-}
