Refuse API keys that may have been revoked

Cause: a node served keys by its last configuration, however old that was. Change: ConfigState knows when a read of the store last confirmed the accepted configuration, counted from the start of that read on a clock that includes suspension. Where the settings state strictRevocation, requests with a key are refused (not executed, Retry-After) once the confirmation is older than revokeMs; the check is repeated when a queued, resumed or repeated request is sent, together with the key itself. Public routes go on. Ruled out: counting from the end of a read, which may have been answered long before; cutting off a slow store connection, which would lose its answer.

--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -160,10 +160,15 @@
         routes.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Whether a route is open only to requests with a known API key.
+    pub fn is_key_required(&self, route: &Route) -> bool {
+        self.requires_key && !route.public
+    }
+
     /// Checks whether a request with this API key may use a route.
     pub fn authorize(&self, route: &Route, key: Option<&str>) -> Access {
         let account = key.and_then(|k| self.accounts.get(k));
-        if account.is_none() && self.requires_key && !route.public {
+        if account.is_none() && self.is_key_required(route) {
             return Access::Denied;
         }
         Access::Granted(account.cloned())
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -13,6 +13,7 @@
     crate::{
         attempts::{Attempts, NextStep},
         config::{Access, Account, Config, Route},
+        config_state::KeyFreshness,
         directory::PoolKey,
         interfaces::UpstreamClient,
         load::UpstreamOutcome,
@@ -106,6 +107,9 @@
         let route = config
             .find_route(&request.host, &request.path)
             .ok_or(Rejection::invalid(Reason::NoRoute))?;
+        if config.is_key_required(route) && !self.are_keys_fresh() {
+            return Err(Rejection::not_executed(Reason::KeysOutdated, MIN_RETRY_AFTER));
+        }
         let Access::Granted(account) = config.authorize(route, request.api_key.as_deref()) else {
             return Err(Rejection::invalid(Reason::UnknownKey));
         };
@@ -149,6 +153,30 @@
         digest.is_some_and(|digest| self.has_too_many_losses(&digest))
     }
 
+    fn are_keys_fresh(&self) -> bool {
+        self.tables.key_freshness(self.clock.now()) == KeyFreshness::Fresh
+    }
+
+    /// Why a request that was admitted may not be sent any more, because its API key was revoked or
+    /// may have been; `None` if it may be sent.
+    fn key_objection(&self, context: &RequestContext) -> Option<Reason> {
+        let config = self.tables.config()?;
+        if !config.is_key_required(&context.route) {
+            return None;
+        }
+        if !self.are_keys_fresh() {
+            return Some(Reason::KeysOutdated);
+        }
+        let access = config.authorize(&context.route, context.request.api_key.as_deref());
+        let is_same_account = |current: &Option<Account>| {
+            current.as_ref().map(|a| &a.id) == context.account.as_ref().map(|a| &a.id)
+        };
+        match access {
+            Access::Granted(current) if is_same_account(&current) => None,
+            Access::Granted(_) | Access::Denied => Some(Reason::UnknownKey),
+        }
+    }
+
     async fn execute(self: &Arc<Self>, context: RequestContext) -> Reply {
         let mut attempts = Attempts::new(context.route.is_retryable(), context.route.max_attempts);
         let mut failure: Option<(ResponseHead, Bytes)> = None;
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -54,7 +54,8 @@
 impl Proxy {
     /// Acquires a slot at an upstream, waiting in the queue if necessary.
     ///
-    /// A request that was quarantined in the meantime, by itself or for its prompt, is rejected.
+    /// A request that was quarantined in the meantime, by itself or for its prompt, is rejected, and
+    /// so is one whose API key was revoked or may have been.
     pub(crate) async fn acquire_permit(
         &self,
         context: &RequestContext,
@@ -65,7 +66,12 @@
             let reason = Reason::Quarantined;
             return Err(rejection_after(attempts, reason, QUARANTINE_RETRY_AFTER));
         }
-        Ok(permit)
+        match self.key_objection(context) {
+            None => Ok(permit),
+            Some(reason) if attempts.may_have_executed() => Err(Rejection::unknown(reason)),
+            Some(Reason::UnknownKey) => Err(Rejection::invalid(Reason::UnknownKey)),
+            Some(reason) => Err(Rejection::not_executed(reason, MIN_RETRY_AFTER)),
+        }
     }
 
     async fn wait_for_permit(
--- a/crates/serving/src/proxy/telemetry.rs
+++ b/crates/serving/src/proxy/telemetry.rs
@@ -3,8 +3,13 @@
 use {
     super::{Proxy, RequestContext, context::request_digest},
     crate::{
-        attempts::Attempts, directory::Upstream, interfaces::SendError, rejection::Rejection,
-        request::Request, tables::format_parts,
+        attempts::Attempts,
+        config_state::KeyFreshness,
+        directory::Upstream,
+        interfaces::SendError,
+        rejection::{Reason, Rejection},
+        request::Request,
+        tables::format_parts,
     },
     cadence::{Counted as _, Timed as _},
     http::StatusCode,
@@ -114,6 +119,12 @@
             .with("execution", rejection.execution)
             .with("elapsed_ms", elapsed.as_millis())
             .with("retry_after_ms", rejection.retry_after.map_or(0, |t| t.as_millis()));
+        if rejection.reason == Reason::KeysOutdated
+            && let KeyFreshness::Outdated { age } = self.tables.key_freshness(self.clock.now())
+        {
+            let age_ms = age.map_or("none".to_owned(), |age| age.as_millis().to_string());
+            event = event.with("config_age_ms", age_ms);
+        }
         if let Some((context, attempts)) = context {
             event = event
                 .with("route", &context.route.id)
--- a/crates/serving/src/rejection.rs
+++ b/crates/serving/src/rejection.rs
@@ -14,6 +14,8 @@
     NoRoute,
     /// unknown_key
     UnknownKey,
+    /// keys_outdated
+    KeysOutdated,
     /// quarantined
     Quarantined,
     /// no_upstream
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         config::Config,
+        config_state::{ConfigState, KeyFreshness},
         directory::{Directory, PoolKey, Upstream},
         load::{LoadTracker, Selection, UpstreamOutcome},
         membership::PeerTable,
@@ -67,7 +68,7 @@
 #[derive(Debug)]
 pub struct Tables {
     /// Accepted configuration.
-    pub config: Table<Option<Arc<Config>>>,
+    pub config: Table<ConfigState>,
     /// Other nodes.
     pub peers: Table<PeerTable>,
     /// Listed instances and upstream pools.
@@ -108,7 +109,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
         };
         Self {
-            config: Table::new(LockRank::Settings, None),
+            config: Table::new(LockRank::Settings, ConfigState::new(None)),
             peers: Table::new(LockRank::Members, PeerTable::default()),
             directory: Table::new(LockRank::Groups, Directory::default()),
             balancer: Table::new(LockRank::Upstreams, balancer),
@@ -120,19 +121,26 @@
         }
     }
 
+    /// Sets the time within which a revoked key has to stop working even at a node that is out of
+    /// touch with the store; see [`ConfigState::new`].
+    pub fn with_revocation_bound(mut self, revocation_bound: Option<Duration>) -> Self {
+        self.config = Table::new(LockRank::Settings, ConfigState::new(revocation_bound));
+        self
+    }
+
     /// Accepted configuration, if any.
     pub fn config(&self) -> Option<Arc<Config>> {
-        self.config.lock().clone()
+        self.config.lock().current().cloned()
     }
 
     /// Replaces the configuration; returns `false` if `config` is not newer.
     pub fn update_config(&self, config: Config) -> bool {
-        let mut current = self.config.lock();
-        if current.as_ref().is_some_and(|c| c.revision >= config.revision) {
-            return false;
-        }
-        *current = Some(Arc::new(config));
-        true
+        self.config.lock().accept(config)
+    }
+
+    /// Whether requests with an API key may be sent now.
+    pub fn key_freshness(&self, now: Instant) -> KeyFreshness {
+        self.config.lock().key_freshness(now)
     }
 
     /// Rebuilds the upstream pools after a change of instances or configuration.
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -64,6 +64,8 @@
     pub open_bodies: Arc<Mutex<i64>>,
     /// What upstreams state about themselves in all responses.
     pub notice: Mutex<Option<UpstreamNotice>>,
+    /// Called once, before the next response.
+    pub before_response: Mutex<Option<Box<dyn FnOnce() + Send>>>,
     /// Text in a request body that crashes an upstream.
     pub crashing_text: Mutex<Option<&'static str>>,
     /// Addresses of upstreams that have crashed, and so refuse connections.
@@ -140,6 +142,9 @@
             return SendError::ConnectionLost.into();
         }
         self.sent.lock().unwrap().push((instance.clone(), request));
+        if let Some(event) = self.before_response.lock().unwrap().take() {
+            event();
+        }
         let scripted = {
             let mut scripts = self.scripts.lock().unwrap();
             scripts.get_mut(instance).and_then(VecDeque::pop_front)
