--- a/crates/serving/tests/revocation.rs
+++ b/crates/serving/tests/revocation.rs
@@ -99,9 +99,9 @@
     assert_eq!(state.key_freshness(now), KeyFreshness::Outdated { age });
 }
 
-/// Time from the start of a test until the keys are outdated; short, so that no upstream counts as
-/// stalled meanwhile.
-const TIME_TO_BOUND: Duration = Duration::from_millis(300);
+/// Time from the start of a test until the keys are outdated; short, so that no request is late and
+/// no upstream counts as stalled.
+const TIME_TO_BOUND: Duration = Duration::from_millis(150);
 
 /// Tables whose keys will be outdated after [`TIME_TO_BOUND`].
 fn strict_tables(clock: &ManualClock) -> Arc<Tables> {
