Choose the groups of all fabric domains together

Cause: each domain preferred one model and counted with all of its instances for it. Where the group sizes do not divide the domain (6 and 3 in 11), a domain of the larger model held one group of 6 and kept 5 spares, and the balance between the models was wrong: 4 groups of 6 and 7 of 3 opened, 45 of 66 engines. Change: groups::partition chooses the groups of all domains together, from the shares of the work and the capacity that groups are expected to have when members are lost, with or without spares that have the weights. It is pure and deterministic, keeps existing groups and avoids loads that gain little. Spares get the weights of the models of their domain, in proportion to the members. The size of a domain is the largest of the last 15 s, so that its groups do not change with each loss. Ruled out: one model a domain with fewer spares (leaves 2 of 11 for neither).

--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -14,7 +14,11 @@
 pub use self::{departures::Departures, loads::LoadLimits};
 
 use {
-    self::{loads::LoadTracker, retirement::Retirement},
+    self::{
+        loads::LoadTracker,
+        retirement::Retirement,
+        selection::{DomainSize, KnownPartition, ServiceDomain},
+    },
     crate::plan::{Plan, PlannedGroup},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -205,6 +209,8 @@
     /// Start time and model of each instance in its last planned group.
     last_models: BTreeMap<InstanceId, (u64, ModelId)>,
     loads: LoadTracker,
+    domain_sizes: BTreeMap<ServiceDomain, DomainSize>,
+    partitions: BTreeMap<ServiceId, KnownPartition>,
 }
 
 impl GroupPlanner {
@@ -219,6 +225,8 @@
             addresses: BTreeMap::new(),
             last_models: BTreeMap::new(),
             loads: LoadTracker::new(limits),
+            domain_sizes: BTreeMap::new(),
+            partitions: BTreeMap::new(),
         }
     }
 
--- a/crates/groups/src/formation/selection.rs
+++ b/crates/groups/src/formation/selection.rs
@@ -1,21 +1,29 @@
 //! Selects the groups to form from free instances, and the weights to load onto the others.
 //!
-//! Each fabric domain has a preferred model, so that the remaining members of its broken groups can
-//! form new groups without loading weights.
+//! [`partition`] says which groups a domain should have. They are formed when enough free instances
+//! have the weights; until then, the missing weights are loaded.
 
 use {
     super::{
-        Actions, ClusterView, EngineInstance, GroupPlanner, ModelsByService,
-        supply::{ModelProfiles, ModelSupply},
+        Actions, ClusterView, EngineInstance, GroupPlanner, ModelsByService, supply::ModelSupply,
+    },
+    crate::{
+        partition::{DomainState, ModelProfiles, Partition, divide_spares, partition},
+        plan::Plan,
     },
-    crate::plan::Plan,
     std::{
         collections::{BTreeMap, BTreeSet},
-        time::Instant,
+        time::{Duration, Instant},
     },
     turmerictack_model::ids::{FabricDomain, InstanceId, ModelId, ServiceId},
 };
 
+/// Time for which an instance that is gone still counts towards the size of its domain.
+///
+/// Most lost instances are back within this time, so the groups that a domain should have don't
+/// change with each loss.
+const SIZE_RETENTION: Duration = Duration::from_secs(15);
+
 /// State of an instance for a model, from the shortest to the longest time to join a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Warmth {
@@ -28,29 +36,42 @@
 }
 
 /// Instances of one service in one fabric domain.
-type ServiceDomain = (ServiceId, FabricDomain);
+pub(super) type ServiceDomain = (ServiceId, FabricDomain);
+
+/// Free instances by domain.
+type FreeInstances = BTreeMap<ServiceDomain, BTreeSet<InstanceId>>;
 
-/// What decides which weights to load.
-struct LoadPlanning<'a> {
-    profiles: &'a ModelProfiles,
-    preferences: &'a BTreeMap<ServiceDomain, ModelId>,
-    reserves: &'a BTreeMap<ServiceDomain, SpareReserve>,
+/// Largest recent number of instances of a domain.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DomainSize {
+    instances: usize,
+    seen_at: Instant,
 }
 
-/// Instances of a domain to keep as spares of its preferred model.
-///
-/// The loss of one member idles all others of a group until a spare replaces it. One spare for each
-/// group is therefore worth more than a smaller group of another model.
-struct SpareReserve {
-    preferred: ModelId,
-    group_size: usize,
-    spares: usize,
+/// Partition of the domains of a service, and the state that it was computed from.
+#[derive(Debug)]
+pub(super) struct KnownPartition {
+    profiles: ModelProfiles,
+    states: BTreeMap<ServiceDomain, DomainState>,
+    wanted: BTreeMap<ServiceDomain, Partition>,
+}
+
+/// Groups that a domain should have and those that it has.
+struct DomainTarget {
+    wanted: Partition,
+    existing: Partition,
+    size: usize,
 }
 
-impl SpareReserve {
-    /// Whether `free` instances are enough for a group of a model and the spares.
-    fn allows_group(&self, model: &ModelId, size: usize, free: usize) -> bool {
-        *model == self.preferred || size >= self.group_size || free >= size + self.spares
+impl DomainTarget {
+    /// Whether the domain should have another group of a model.
+    fn lacks(&self, model: &ModelId) -> bool {
+        let count = |partition: &Partition| partition.get(model).copied().unwrap_or(0);
+        count(&self.existing) < count(&self.wanted)
+    }
+
+    fn add(&mut self, model: &ModelId) {
+        *self.existing.entry(model.clone()).or_default() += 1;
     }
 }
 
@@ -64,72 +85,95 @@
         plan: &mut Plan,
         actions: &mut Actions,
     ) {
-        let preferences = self.preferred_models(models, view, plan);
-        let free = self.free_instances(now, view, plan, actions);
+        self.update_domain_sizes(now, view);
+        let mut free = self.free_instances(now, view, plan, actions);
         for (service, profiles) in models {
-            let mut domains: BTreeMap<&ServiceDomain, BTreeSet<InstanceId>> = free
-                .iter()
-                .filter(|((s, _), _)| s == service)
-                .map(|(domain, ids)| (domain, ids.clone()))
-                .collect();
+            let mut targets = self.domain_targets(service, profiles, view, plan, &free);
             let mut supply = ModelSupply::new(profiles).with_planned_groups(service, view, plan);
-            let reserves = spare_reserves(service, profiles, view, &preferences, plan);
-            for (domain, free) in &mut domains {
-                let reserve = reserves.get(*domain);
+            for (domain, target) in &mut targets {
+                let Some(free) = free.get_mut(domain) else { continue };
                 while let Some((model, members)) =
-                    self.next_formable_group(view, profiles, &supply, reserve, free)
+                    self.next_formable_group(view, profiles, &supply, target, free)
                 {
                     remove_all(free, &members);
                     supply.add(&model, members.len());
+                    target.add(&model);
                     plan.add_group(service.clone(), model, members);
                 }
             }
-            let limits = LoadPlanning { profiles, preferences: &preferences, reserves: &reserves };
-            self.plan_loads(now, view, &limits, supply, domains, plan);
+            self.plan_loads(now, view, profiles, supply, targets, &mut free, plan);
         }
     }
 
-    /// Preferred model of each domain: the one that most of its instances run or have loaded, or
-    /// else the model with the fewest instances per share.
-    fn preferred_models(
-        &self,
-        models: &ModelsByService,
+    /// Updates the sizes of the domains from the listed instances that are not leaving.
+    fn update_domain_sizes(&mut self, now: Instant, view: &ClusterView) {
+        let mut listed: BTreeMap<ServiceDomain, usize> = BTreeMap::new();
+        for engine in view.engines.values().filter(|e| !e.leaving) {
+            *listed.entry((engine.service.clone(), engine.domain.clone())).or_default() += 1;
+        }
+        self.domain_sizes.retain(|domain, size| {
+            listed.contains_key(domain) || now < size.seen_at + SIZE_RETENTION
+        });
+        for (domain, instances) in listed {
+            let size =
+                self.domain_sizes.entry(domain).or_insert(DomainSize { instances, seen_at: now });
+            if instances >= size.instances || now >= size.seen_at + SIZE_RETENTION {
+                *size = DomainSize { instances, seen_at: now };
+            }
+        }
+    }
+
+    /// Groups that each domain of a service should have, and those that it has.
+    fn domain_targets(
+        &mut self,
+        service: &ServiceId,
+        profiles: &ModelProfiles,
         view: &ClusterView,
         plan: &Plan,
-    ) -> BTreeMap<ServiceDomain, ModelId> {
-        let planned: BTreeMap<&InstanceId, &ModelId> =
-            plan.groups.values().flat_map(|g| g.members.iter().map(|id| (id, &g.model))).collect();
-        let mut scores: BTreeMap<ServiceDomain, BTreeMap<ModelId, usize>> = BTreeMap::new();
-        let mut instance_counts: BTreeMap<ServiceDomain, usize> = BTreeMap::new();
-        for (id, engine) in &view.engines {
-            let Some(profiles) = models.get(&engine.service) else { continue };
-            let domain = (engine.service.clone(), engine.domain.clone());
-            *instance_counts.entry(domain.clone()).or_default() += 1;
-            let scores = scores.entry(domain).or_default();
-            for model in profiles.keys() {
-                let serves = planned.get(id) == Some(&model);
-                let is_warm = self.warmth(id, engine, model) != Warmth::Cold
-                    || self.loads.loading_model(id) == Some(model);
-                let score = 2 * usize::from(serves) + usize::from(is_warm);
-                *scores.entry(model.clone()).or_default() += score;
+        free: &FreeInstances,
+    ) -> BTreeMap<ServiceDomain, DomainTarget> {
+        let mut states: BTreeMap<ServiceDomain, DomainState> = BTreeMap::new();
+        for (domain, size) in self.domain_sizes.iter().filter(|((s, _), _)| s == service) {
+            let state = states.entry(domain.clone()).or_default();
+            state.instances = size.instances;
+            for (id, model) in free
+                .get(domain)
+                .into_iter()
+                .flatten()
+                .flat_map(|id| profiles.keys().map(move |model| (id, model)))
+            {
+                let Some(engine) = view.engines.get(id) else { continue };
+                let is_loading = self.loads.loading_model(id) == Some(model);
+                if is_loading || self.warmth(id, engine, model) != Warmth::Cold {
+                    *state.staged.entry(model.clone()).or_default() += 1;
+                }
             }
         }
-        let mut preferences = BTreeMap::new();
-        let mut supplies: BTreeMap<&ServiceId, ModelSupply> = BTreeMap::new();
-        let has_score = |domain: &ServiceDomain| scores[domain].values().any(|score| *score > 0);
-        let (scored, unscored): (Vec<&ServiceDomain>, Vec<&ServiceDomain>) =
-            instance_counts.keys().partition(|domain| has_score(domain));
-        for domain in scored.into_iter().chain(unscored) {
-            let supply =
-                supplies.entry(&domain.0).or_insert_with(|| ModelSupply::new(&models[&domain.0]));
-            let by_need = supply.models_by_need();
-            let score = |model: &ModelId| scores[domain].get(model).copied().unwrap_or(0);
-            // `max_by_key` returns the last maximum, so the model with the greatest need goes last.
-            let Some(model) = by_need.into_iter().rev().max_by_key(score) else { continue };
-            supply.add(&model, instance_counts[domain]);
-            preferences.insert(domain.clone(), model);
+        for group in plan.groups.values().filter(|g| g.service == *service && !g.retiring) {
+            let domain = group.members.iter().find_map(|id| view.engines.get(id));
+            let Some(domain) = domain.map(|e| (service.clone(), e.domain.clone())) else {
+                continue;
+            };
+            let state = states.entry(domain).or_default();
+            *state.groups.entry(group.model.clone()).or_default() += 1;
         }
-        preferences
+        let known = self
+            .partitions
+            .remove(service)
+            .filter(|known| known.profiles == *profiles && known.states == states)
+            .unwrap_or_else(|| KnownPartition {
+                profiles: profiles.clone(),
+                wanted: partition(profiles, &states),
+                states,
+            });
+        let target = |(domain, state): (&ServiceDomain, &DomainState)| {
+            let wanted = known.wanted.get(domain).cloned().unwrap_or_default();
+            let existing = state.groups.clone();
+            (domain.clone(), DomainTarget { wanted, existing, size: state.instances })
+        };
+        let targets = known.states.iter().map(target).collect();
+        self.partitions.insert(service.clone(), known);
+        targets
     }
 
     /// Instances that belong to no group, by domain; instances in a group that is not in the plan
@@ -140,10 +184,10 @@
         view: &ClusterView,
         plan: &Plan,
         actions: &mut Actions,
-    ) -> BTreeMap<ServiceDomain, BTreeSet<InstanceId>> {
+    ) -> FreeInstances {
         let planned: BTreeSet<&InstanceId> =
             plan.groups.values().flat_map(|g| &g.members).collect();
-        let mut free: BTreeMap<ServiceDomain, BTreeSet<InstanceId>> = BTreeMap::new();
+        let mut free = FreeInstances::new();
         for (id, engine) in &view.engines {
             if engine.leaving || planned.contains(id) || view.unreachable.contains(id) {
                 continue;
@@ -157,21 +201,18 @@
         free
     }
 
-    /// Group of the model with the greatest need that the free instances of a domain can form
-    /// without a load.
+    /// Group that a domain should have and that its free instances can form without a load, of the
+    /// model with the greatest need.
     fn next_formable_group(
         &self,
         view: &ClusterView,
         profiles: &ModelProfiles,
         supply: &ModelSupply,
-        reserve: Option<&SpareReserve>,
+        target: &DomainTarget,
         free: &BTreeSet<InstanceId>,
     ) -> Option<(ModelId, Vec<InstanceId>)> {
-        supply.models_by_need().into_iter().find_map(|model| {
+        supply.models_by_need().into_iter().filter(|m| target.lacks(m)).find_map(|model| {
             let size = profiles[&model].group_size;
-            if reserve.is_some_and(|r| !r.allows_group(&model, size, free.len())) {
-                return None;
-            }
             let mut warm: Vec<(Warmth, &InstanceId)> = free
                 .iter()
                 .filter_map(|id| Some((self.warmth(id, view.engines.get(id)?, &model), id)))
@@ -184,37 +225,69 @@
         })
     }
 
-    /// Plans loads: first for whole groups, in order of need, then for spare instances.
+    /// Plans loads: first for the groups that domains should have, in order of need, then for spare
+    /// instances.
+    #[allow(clippy::too_many_arguments, reason = "state of one planning step")]
     fn plan_loads(
         &mut self,
         now: Instant,
         view: &ClusterView,
-        limits: &LoadPlanning<'_>,
+        profiles: &ModelProfiles,
         mut supply: ModelSupply,
-        mut domains: BTreeMap<&ServiceDomain, BTreeSet<InstanceId>>,
+        mut targets: BTreeMap<ServiceDomain, DomainTarget>,
+        free: &mut FreeInstances,
         plan: &mut Plan,
     ) {
         while let Some((domain, model, members)) =
-            self.next_loadable_group(view, limits, &supply, &domains)
+            self.next_loadable_group(view, profiles, &supply, &targets, free)
         {
             if !self.plan_missing_loads(now, view, &model, &members, plan) {
                 return;
             }
-            if let Some(free) = domains.get_mut(&domain) {
+            if let Some(free) = free.get_mut(&domain) {
                 remove_all(free, &members);
             }
+            if let Some(target) = targets.get_mut(&domain) {
+                target.add(&model);
+            }
             supply.add(&model, members.len());
         }
-        for (domain, free) in domains {
-            let Some(model) = limits.preferences.get(domain) else { continue };
-            let spares: Vec<InstanceId> =
-                free.into_iter().filter(|id| self.loads.loading_model(id).is_none()).collect();
-            if !self.plan_missing_loads(now, view, model, &spares, plan) {
-                return;
+        for (domain, target) in &targets {
+            let Some(free) = free.get(domain) else { continue };
+            for (model, count) in divide_spares(profiles, target.size, &target.wanted) {
+                let spares = self.spares_to_load(view, &model, count, free);
+                if !self.plan_missing_loads(now, view, &model, &spares, plan) {
+                    return;
+                }
             }
         }
     }
 
+    /// Free instances to load a model onto, so that `count` of them have it.
+    ///
+    /// Only instances without any weights are taken, since a load may replace other weights.
+    fn spares_to_load(
+        &self,
+        view: &ClusterView,
+        model: &ModelId,
+        count: usize,
+        free: &BTreeSet<InstanceId>,
+    ) -> Vec<InstanceId> {
+        let has_weights = |id: &InstanceId| {
+            self.loads.loading_model(id) == Some(model)
+                || view
+                    .engines
+                    .get(id)
+                    .is_some_and(|engine| self.warmth(id, engine, model) != Warmth::Cold)
+        };
+        let is_empty = |id: &&InstanceId| {
+            self.loads.loading_model(id).is_none()
+                && view.engines.get(*id).is_some_and(|engine| engine.staged.is_empty())
+        };
+        let present = free.iter().filter(|id| has_weights(id)).count();
+        free.iter().filter(is_empty).take(count.saturating_sub(present)).cloned().collect()
+    }
+
     /// Plans loads for the members that lack the weights; returns `false` if the limits allow no
     /// more loads now.
     fn plan_missing_loads(
@@ -238,32 +311,22 @@
         true
     }
 
-    /// Group of the model with the greatest need that free instances can form after loads.
-    ///
-    /// The domain must prefer that model, or have too few free instances for a group of its
-    /// preferred model, of which there must be more instances per share.
-    fn next_loadable_group<'a>(
+    /// Group that a domain should have and that its free instances can form after loads, of the
+    /// model with the greatest need.
+    fn next_loadable_group(
         &self,
         view: &ClusterView,
-        limits: &LoadPlanning<'_>,
+        profiles: &ModelProfiles,
         supply: &ModelSupply,
-        domains: &BTreeMap<&'a ServiceDomain, BTreeSet<InstanceId>>,
-    ) -> Option<(&'a ServiceDomain, ModelId, Vec<InstanceId>)> {
+        targets: &BTreeMap<ServiceDomain, DomainTarget>,
+        free: &FreeInstances,
+    ) -> Option<(ServiceDomain, ModelId, Vec<InstanceId>)> {
         for model in supply.models_by_need() {
-            let size = limits.profiles[&model].group_size;
-            for (domain, free) in domains {
-                let Some(preferred) = limits.preferences.get(*domain) else { continue };
-                let fits_preferred = free.len() >= limits.profiles[preferred].group_size;
-                let is_scarcer = supply.per_share(&model) < supply.per_share(preferred);
-                if *preferred != model && (fits_preferred || !is_scarcer) {
-                    continue;
-                }
-                let reserve = limits.reserves.get(*domain);
-                if reserve.is_some_and(|r| !r.allows_group(&model, size, free.len())) {
-                    continue;
-                }
+            let size = profiles[&model].group_size;
+            for (domain, _) in targets.iter().filter(|(_, target)| target.lacks(&model)) {
+                let Some(free) = free.get(domain) else { continue };
                 if let Some(members) = self.loadable_members(view, &model, size, free) {
-                    return Some((domain, model, members));
+                    return Some((domain.clone(), model, members));
                 }
             }
         }
@@ -271,8 +334,8 @@
     }
 
     /// Members for a group that may need loads: instances that have the weights are preferred, then
-    /// those that are loading them. Instances without the weights that are loading another model are
-    /// left out.
+    /// those that are loading them, then those without any weights. Instances without the weights
+    /// that are loading another model are left out.
     fn loadable_members(
         &self,
         view: &ClusterView,
@@ -280,16 +343,18 @@
         size: usize,
         free: &BTreeSet<InstanceId>,
     ) -> Option<Vec<InstanceId>> {
-        let mut candidates: Vec<(Warmth, bool, &InstanceId)> = free
+        let mut candidates: Vec<(Warmth, bool, bool, &InstanceId)> = free
             .iter()
             .filter_map(|id| {
-                let warmth = self.warmth(id, view.engines.get(id)?, model);
+                let engine = view.engines.get(id)?;
+                let warmth = self.warmth(id, engine, model);
                 let loading = self.loads.loading_model(id);
                 let loads_other = loading.is_some_and(|m| m != model);
                 if loads_other && warmth == Warmth::Cold {
                     return None;
                 }
-                Some((warmth, loading != Some(model), id))
+                let replaces_weights = warmth == Warmth::Cold && !engine.staged.is_empty();
+                Some((warmth, loading != Some(model), replaces_weights, id))
             })
             .collect();
         candidates.sort_unstable();
@@ -315,35 +380,3 @@
         free.remove(id);
     }
 }
-
-/// Spares to keep in each domain of a service: one for each group of the preferred model that the
-/// domain can have.
-fn spare_reserves(
-    service: &ServiceId,
-    profiles: &ModelProfiles,
-    view: &ClusterView,
-    preferences: &BTreeMap<ServiceDomain, ModelId>,
-    plan: &Plan,
-) -> BTreeMap<ServiceDomain, SpareReserve> {
-    let models: BTreeMap<&InstanceId, &ModelId> =
-        plan.groups.values().flat_map(|g| g.members.iter().map(|id| (id, &g.model))).collect();
-    let mut reserves = BTreeMap::new();
-    for (domain, preferred) in preferences.iter().filter(|((s, _), _)| s == service) {
-        let is_available = |(id, engine): &(&InstanceId, &EngineInstance)| {
-            engine.service == domain.0
-                && engine.domain == domain.1
-                && !engine.leaving
-                && !view.unreachable.contains(*id)
-                && models.get(id).is_none_or(|model| *model == preferred)
-        };
-        let available = view.engines.iter().filter(is_available).count();
-        let group_size = profiles[preferred].group_size;
-        let reserve = SpareReserve {
-            preferred: preferred.clone(),
-            group_size,
-            spares: available / group_size.max(1),
-        };
-        reserves.insert(domain.clone(), reserve);
-    }
-    reserves
-}
--- a/crates/groups/src/formation/supply.rs
+++ b/crates/groups/src/formation/supply.rs
@@ -1,15 +1,15 @@
 //! Number of instances that each model of a service has, relative to its share of the work.
 
 use {
-    super::{ClusterView, ModelProfile},
-    crate::plan::{Plan, PlannedGroup},
+    super::ClusterView,
+    crate::{
+        partition::ModelProfiles,
+        plan::{Plan, PlannedGroup},
+    },
     std::collections::BTreeMap,
     turmerictack_model::ids::{ModelId, ServiceId},
 };
 
-/// Models of one service by name.
-pub(super) type ModelProfiles = BTreeMap<ModelId, ModelProfile>;
-
 /// Number of instances and share of the work, by model.
 #[derive(Clone, Debug)]
 pub(super) struct ModelSupply {
@@ -20,8 +20,9 @@
 impl ModelSupply {
     /// Creates the supply of a service without any instances.
     pub(super) fn new(profiles: &ModelProfiles) -> Self {
-        let share = |p: &ModelProfile| p.work_share.max(f64::MIN_POSITIVE);
-        let shares = profiles.iter().map(|(model, p)| (model.clone(), share(p))).collect();
+        let share = |work_share: f64| work_share.max(f64::MIN_POSITIVE);
+        let shares =
+            profiles.iter().map(|(model, p)| (model.clone(), share(p.work_share))).collect();
         Self { instances: BTreeMap::new(), shares }
     }
 
