Take no stream for complete that has failed

Callers would see: a 200 with an empty body, or a stream that ends as if it were complete, though the upstream broke off (ORDER, MIXED); streams that stall for good while others at their upstream go on. Cause: a stream that ended before its first event became a complete empty response; one that was resumed ended with whatever the next upstream sent, also nothing; any success counted as the rest of a stream, whatever its type; and a stall was only noticed when all streams of an upstream stalled. Change: a stream without any event has failed, unless its caller resumes it; a resumed one needs an event; a response whose type is not that of events is passed on whole at the start and refused as the rest of a stream. Events that come again in one chunk with new ones are refused. A stream without a whole event for 1 s, or twice the latency target, may move to another upstream; slow ones stay. Text of an error in the middle of a stream could not happen.

--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -67,6 +67,8 @@
     pub head: ResponseHead,
     /// Whether the status of the response indicates success.
     pub is_success: bool,
+    /// Whether the body may be a stream of events; `false` if the head states another type.
+    pub may_be_events: bool,
     /// Response body.
     pub body: Box<dyn ResponseBody>,
 }
--- a/crates/serving/src/proxy/context.rs
+++ b/crates/serving/src/proxy/context.rs
@@ -22,6 +22,12 @@
 /// Fraction of the route timeout below which a client timeout indicates a retry by the client.
 const MIN_FIRST_TRY_TIMEOUT_FRACTION: f64 = 0.75;
 
+/// Time without a whole event after which a stream counts as stalled, at least.
+const MIN_EVENT_GAP: Duration = Duration::from_secs(1);
+
+/// The same time, as a multiple of the latency target. Callers give up after twice that.
+const EVENT_GAP_FACTOR: u32 = 2;
+
 /// Least urgent engine priority.
 const MAX_ENGINE_PRIORITY: u8 = 9;
 
@@ -53,6 +59,12 @@
         timeout - client_timeout
     }
 
+    /// Time without a whole event after which the stream counts as stalled, however many bytes have
+    /// arrived and whatever other streams of the upstream do.
+    pub(crate) fn max_event_gap(&self) -> Duration {
+        MIN_EVENT_GAP.max(self.route.latency_target * EVENT_GAP_FACTOR)
+    }
+
     pub(super) fn upstream_request(&self, resume_after: Option<EventPosition>) -> UpstreamRequest {
         let priority =
             self.priority().saturating_mul(ENGINE_PRIORITY_STEP).min(MAX_ENGINE_PRIORITY);
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -191,7 +191,9 @@
                 self.send(&context, &upstream, &attempts, context.request.resume_after).await;
             let next_step = match result {
                 SendResult::Responded(response)
-                    if response.is_success && context.route.is_streaming =>
+                    if response.is_success
+                        && response.may_be_events
+                        && context.route.is_streaming =>
                 {
                     match self.start_stream(&context, response, permit, &mut attempts).await {
                         Ok(reply) => return reply,
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -94,15 +94,23 @@
         context: &RequestContext,
         upstream: &Upstream,
         attempts: &Attempts,
+    ) -> bool {
+        self.try_leave(context, upstream, attempts, false)
+    }
+
+    /// Like [`Self::try_leave_stalled`]; `has_stalled` if the stream of this request has, whatever
+    /// the others at the upstream do.
+    pub(crate) fn try_leave(
+        &self,
+        context: &RequestContext,
+        upstream: &Upstream,
+        attempts: &Attempts,
+        has_stalled: bool,
     ) -> bool {
         let now = self.clock.now();
+        let excluded = attempts.failed_upstreams();
         let leave = attempts.can_fail_over()
-            && self.tables.should_fail_over(
-                now,
-                &context.pool,
-                upstream,
-                attempts.failed_upstreams(),
-            )
+            && self.tables.should_fail_over(now, &context.pool, upstream, excluded, has_stalled)
             && self.try_acquire_retry(context);
         if leave {
             let _ = self.metrics.count("streams.stalled", 1);
@@ -136,7 +144,9 @@
             attempts.record_send(self.send_record(context, &permit));
             let upstream = Arc::clone(&permit.upstream);
             match self.send(context, &upstream, attempts, last_event).await {
-                SendResult::Responded(response) if response.is_success => {
+                SendResult::Responded(response)
+                    if response.is_success && response.may_be_events =>
+                {
                     return Some(ActiveStream { permit, body: response.body });
                 }
                 SendResult::Responded(_) => {
@@ -191,12 +201,19 @@
                     );
                     return Ok(Reply::Stream { head, events: Box::new(events) });
                 }
-                Ok(Ok(None)) => {
+                // A stream that is resumed after its last event has no events left.
+                Ok(Ok(None)) if context.request.resume_after.is_some() => {
                     permit.release(UpstreamOutcome::Success);
                     self.record_answer(context, attempts);
                     self.record_served(context, attempts, head.status);
                     return Ok(Reply::Complete { head, body: Bytes::new() });
                 }
+                Ok(Ok(None)) => {
+                    let error = SendError::ConnectionLost;
+                    self.record_send_failure(context, attempts, &upstream, &error).await;
+                    permit.release(outcome_of(&error));
+                    return Err(attempts.record_failure(&upstream.instance, &error));
+                }
                 Ok(Err(error)) => {
                     self.record_send_failure(context, attempts, &upstream, &error).await;
                     permit.release(outcome_of(&error));
@@ -224,7 +241,7 @@
         failure: &mut Option<(ResponseHead, Bytes)>,
     ) -> Result<Reply, NextStep> {
         let upstream = Arc::clone(&permit.upstream);
-        let UpstreamResponse { head, is_success, mut body } = response;
+        let UpstreamResponse { head, is_success, mut body, .. } = response;
         let remaining = context.deadline.saturating_duration_since(self.clock.now());
         let body = match timeout(remaining, body.read_to_end()).await {
             Ok(Ok(body)) => body,
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         attempts::Attempts,
-        interfaces::{EventChunk, ResponseBody},
+        interfaces::{EventChunk, ResponseBody, SendError},
         load::UpstreamOutcome,
         proxy::{Permit, Proxy, RequestContext, STALL_CHECK, outcome_of},
     },
@@ -41,6 +41,18 @@
     buffered: Option<Bytes>,
     last_event: Option<EventPosition>,
     last_progress: Instant,
+    /// Whether the stream was resumed and no event has arrived since.
+    awaits_resumed_events: bool,
+}
+
+/// Events of a chunk, compared with those that the client already has.
+enum Accepted {
+    /// The client has none of them.
+    New(Bytes),
+    /// The client has all of them.
+    Known,
+    /// The client has some of them.
+    Overlapping,
 }
 
 impl EventStream {
@@ -54,7 +66,16 @@
         let last_progress = proxy.clock.now();
         let last_event = first.last_event.or(context.request.resume_after);
         let buffered = Some(first.bytes);
-        Self { proxy, context, attempts, active: Some(active), buffered, last_event, last_progress }
+        Self {
+            proxy,
+            context,
+            attempts,
+            active: Some(active),
+            buffered,
+            last_event,
+            last_progress,
+            awaits_resumed_events: false,
+        }
     }
 
     /// Waits for the next events; returns `None` at the proper end of the stream.
@@ -75,10 +96,24 @@
                 return Err(StreamError::UpstreamLost);
             };
             match timeout(remaining.min(STALL_CHECK), active.body.next_events()).await {
-                Ok(Ok(Some(events))) => {
-                    if let Some(bytes) = self.accept(events) {
-                        return Ok(Some(bytes));
+                Ok(Ok(Some(events))) => match self.accept(events) {
+                    Accepted::New(bytes) => return Ok(Some(bytes)),
+                    Accepted::Known => {}
+                    // They can't be told apart any more, so another upstream has to go on.
+                    Accepted::Overlapping => {
+                        let error = SendError::InvalidResponse;
+                        self.fail_over(outcome_of(&error), false).await?;
                     }
+                },
+                // An upstream that resumes a stream without any event may have failed itself, so the
+                // stream can't be taken for complete.
+                Ok(Ok(None)) if self.awaits_resumed_events => {
+                    let upstream = Arc::clone(&active.permit.upstream);
+                    let error = SendError::ConnectionLost;
+                    self.proxy
+                        .record_send_failure(&self.context, &self.attempts, &upstream, &error)
+                        .await;
+                    self.fail_over(outcome_of(&error), false).await?;
                 }
                 Ok(Ok(None)) => {
                     self.finish();
@@ -93,7 +128,9 @@
                 }
                 Err(_) => {
                     let upstream = Arc::clone(&active.permit.upstream);
-                    if self.proxy.try_leave_stalled(&self.context, &upstream, &self.attempts) {
+                    let gap = self.proxy.clock.now().saturating_duration_since(self.last_progress);
+                    let has_stalled = gap >= self.context.max_event_gap();
+                    if self.proxy.try_leave(&self.context, &upstream, &self.attempts, has_stalled) {
                         self.fail_over(UpstreamOutcome::Inconclusive, true).await?;
                     }
                 }
@@ -101,20 +138,24 @@
         }
     }
 
-    /// Records progress; returns `None` for events that the client already has.
-    fn accept(&mut self, events: EventChunk) -> Option<Bytes> {
+    /// Records progress, and compares events with those that the client already has.
+    fn accept(&mut self, events: EventChunk) -> Accepted {
         let now = self.proxy.clock.now();
-        let active = self.active.as_ref()?;
+        let Some(active) = &self.active else { return Accepted::Known };
         self.proxy.record_answer(&self.context, &mut self.attempts);
         let gap = now.saturating_duration_since(self.last_progress);
         self.last_progress = now;
         let key = active.permit.upstream.key;
         self.proxy.tables.balancer.lock().loads.record_progress(now, key, Some(gap));
         if events.last_event.is_some() && events.last_event <= self.last_event {
-            return None;
+            return Accepted::Known;
+        }
+        if events.first_event.is_some() && events.first_event <= self.last_event {
+            return Accepted::Overlapping;
         }
         self.last_event = events.last_event.or(self.last_event);
-        Some(events.bytes)
+        self.awaits_resumed_events = false;
+        Accepted::New(events.bytes)
     }
 
     /// Resumes the stream at another upstream or ends it; `is_prepaid` if the retry has already
@@ -143,6 +184,8 @@
                     .with("after_event", self.last_event.unwrap_or(0))
                     .info();
                 self.active = Some(next);
+                self.awaits_resumed_events = true;
+                self.last_progress = self.proxy.clock.now();
                 Ok(())
             }
             None => Err(self.abort(StreamError::UpstreamLost)),
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -242,20 +242,23 @@
         }
     }
 
-    /// Whether an upstream is stalled while another one can take a request.
+    /// Whether an upstream, or the stream of one request there, is stalled while another upstream can
+    /// take a request.
     pub fn should_fail_over(
         &self,
         now: Instant,
         pool: &PoolKey,
         upstream: &Upstream,
         excluded: &[InstanceId],
+        has_stalled: bool,
     ) -> bool {
         let pools = Arc::clone(self.directory.lock().pools());
         let upstreams = pools.get(pool).map_or(&[][..], |u| u.as_slice());
         let balancer = self.balancer.lock();
-        // A stalled upstream is unhealthy, so `has_capacity` does not count it.
-        balancer.loads.is_stalled(now, upstream.key)
-            && balancer.loads.has_capacity(now, upstreams, excluded)
+        let excluded: Vec<InstanceId> =
+            excluded.iter().chain([&upstream.instance]).cloned().collect();
+        (has_stalled || balancer.loads.is_stalled(now, upstream.key))
+            && balancer.loads.has_capacity(now, upstreams, &excluded)
     }
 
     /// Removes a request from its queue.
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -44,6 +44,8 @@
     Respond(u16, &'static str),
     /// Streams events, starting after the requested position, up to `last`, and ends as given.
     Stream { last: u64, end: StreamEnd },
+    /// Streams events from `first`, whatever was requested, `per_chunk` at a time.
+    StreamFrom { first: u64, last: u64, per_chunk: u64 },
     /// Never responds.
     Hang,
 }
@@ -89,6 +91,7 @@
 pub struct ScriptedBody {
     next: u64,
     last: u64,
+    per_chunk: u64,
     end: StreamEnd,
     text: Option<&'static str>,
     open_bodies: Arc<Mutex<i64>>,
@@ -110,10 +113,12 @@
                 StreamEnd::Stalled => std::future::pending().await,
             };
         }
-        let at = self.next;
-        self.next += 1;
-        let bytes = Bytes::from(format!("id: {at}\ndata: piece-{at}\n\n"));
-        Ok(Some(EventChunk { bytes, first_event: Some(at), last_event: Some(at) }))
+        let first = self.next;
+        self.next = (first + self.per_chunk).min(self.last + 1);
+        let event = |at| format!("id: {at}\ndata: piece-{at}\n\n");
+        let bytes = Bytes::from((first..self.next).map(event).collect::<String>());
+        let (first_event, last_event) = (Some(first), Some(self.next - 1));
+        Ok(Some(EventChunk { bytes, first_event, last_event }))
     }
 
     async fn read_to_end(&mut self) -> Result<Bytes, SendError> {
@@ -150,26 +155,32 @@
             scripts.get_mut(instance).and_then(VecDeque::pop_front)
         };
         let action = scripted.or(self.default.lock().unwrap().clone());
+        let mut per_chunk = 1;
         let (status, body) = match action {
             Some(ScriptedAction::Fail(error)) => return SendReport { result: Err(error), notice },
             Some(ScriptedAction::Hang) | None => return std::future::pending().await,
             Some(ScriptedAction::Respond(status, text)) => {
                 (status, (0, 0, StreamEnd::ConnectionLost, Some(text)))
             }
+            Some(ScriptedAction::StreamFrom { first, last, per_chunk: events }) => {
+                per_chunk = events;
+                (200, (first, last, StreamEnd::Complete, None))
+            }
             Some(ScriptedAction::Stream { last, end }) => {
                 (200, (resume_after.map_or(0, |after| after + 1), last, end, None))
             }
         };
         *self.open_bodies.lock().unwrap() += 1;
         let (next, last, end, text) = body;
-        let body =
-            ScriptedBody { next, last, end, text, open_bodies: Arc::clone(&self.open_bodies) };
+        let open_bodies = Arc::clone(&self.open_bodies);
+        let body = ScriptedBody { next, last, per_chunk, end, text, open_bodies };
         let response = UpstreamResponse {
             head: ResponseHead {
                 status: StatusCode::from_u16(status).unwrap(),
                 headers: HeaderMap::new(),
             },
             is_success: (200..300).contains(&status),
+            may_be_events: text.is_none(),
             body: Box::new(body),
         };
         SendReport { result: Ok(response), notice }
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -453,3 +453,114 @@
     assert_eq!(rejection.reason, Reason::Quarantined);
     assert_eq!(upstreams.sends(), 6);
 }
+
+/// Serves a stream whose upstream is lost after three events, and resumes it at upstreams that act
+/// as given.
+async fn resume_at(action: ScriptedAction) -> (String, Result<(), StreamError>) {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::Stream { last: 2, end: StreamEnd::ConnectionLost });
+    let Reply::Stream { mut events, .. } = proxy.serve(request("notes")).await else {
+        panic!("no stream")
+    };
+    upstreams.set_default(action);
+    let mut text = String::new();
+    loop {
+        match timeout(Duration::from_secs(3), events.next()).await.unwrap() {
+            Ok(Some(bytes)) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
+            Ok(None) => return (text, Ok(())),
+            Err(error) => return (text, Err(error)),
+        }
+    }
+}
+
+#[rstest]
+#[case::error(ScriptedAction::Respond(500, "internal error\n\n"))]
+#[case::refusal(ScriptedAction::Fail(SendError::Overloaded))]
+#[case::success_that_is_no_stream(ScriptedAction::Respond(200, "{\"error\": \"no\"}\n\n"))]
+#[case::no_events(ScriptedAction::Stream { last: 2, end: StreamEnd::Complete })]
+#[tokio::test]
+async fn stream_that_is_answered_with_an_error_when_resumed_ends_incomplete(
+    #[case] action: ScriptedAction,
+) {
+    let (text, end) = resume_at(action).await;
+    assert_eq!(text, whole_stream(2));
+    assert_eq!(end, Err(StreamError::UpstreamLost));
+}
+
+#[rstest]
+#[case::again_from_the_start(ScriptedAction::StreamFrom { first: 0, last: 5, per_chunk: 1 }, Ok(()))]
+#[case::chunk_with_known_and_new_events(
+    ScriptedAction::StreamFrom { first: 1, last: 5, per_chunk: 3 },
+    Err(StreamError::UpstreamLost)
+)]
+#[tokio::test]
+async fn events_that_come_again_when_a_stream_is_resumed_are_not_repeated(
+    #[case] action: ScriptedAction,
+    #[case] expected: Result<(), StreamError>,
+) {
+    let (text, end) = resume_at(action).await;
+    assert_eq!(end, expected);
+    let last = if end.is_ok() { 5 } else { 2 };
+    assert_eq!(text, whole_stream(last));
+}
+
+#[rstest]
+#[tokio::test]
+async fn stream_without_any_event_is_no_complete_response() {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::StreamFrom { first: 1, last: 0, per_chunk: 1 });
+    let rejection = expect_rejection(&proxy, "raw").await;
+    assert_eq!(rejection.execution, ExecutionStatus::Unknown);
+    assert_eq!(upstreams.sends(), 1);
+    upstreams.script("e0", [ScriptedAction::StreamFrom { first: 1, last: 0, per_chunk: 1 }]);
+    upstreams.script("e1", [ScriptedAction::StreamFrom { first: 1, last: 0, per_chunk: 1 }]);
+    let rejection = expect_rejection(&proxy, "notes").await;
+    assert_eq!(rejection.execution, ExecutionStatus::Unknown);
+}
+
+#[rstest]
+#[tokio::test]
+async fn response_that_is_no_stream_is_passed_on_whole() {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::Respond(200, "{\"note\": 1}"));
+    let Reply::Complete { body, .. } = proxy.serve(request("notes")).await else { panic!() };
+    assert_eq!(&body[..], b"{\"note\": 1}");
+}
+
+/// Time that a test waits for the checks of a stream, which are made by the clock of the runtime.
+const CHECK_TIME: Duration = Duration::from_millis(400);
+
+/// Serves a stream that stalls after three events while other streams of its upstream go on; the
+/// clock then shows `gap`. Returns the number of upstreams that the request was sent to.
+async fn sends_after_a_gap(gap: Duration) -> usize {
+    let tables = tables();
+    let clock = Arc::new(ManualClock::default());
+    let (proxy, upstreams) = proxy_with_clock(&tables, clock.clone());
+    upstreams.set_default(ScriptedAction::Stream { last: 2, end: StreamEnd::Stalled });
+    let mut stalling = request("notes");
+    stalling.received_at = clock.now();
+    let Reply::Stream { mut events, .. } = proxy.serve(stalling).await else { panic!() };
+    for _ in 0..3 {
+        assert!(events.next().await.unwrap().is_some());
+    }
+    clock.advance(gap);
+    let instance = upstreams.sent.lock().unwrap()[0].0.clone();
+    let key = turmerictack_serving::directory::upstream_key(&instance);
+    tables.balancer.lock().loads.record_progress(clock.now(), key, None);
+    let _ = timeout(CHECK_TIME, events.next()).await;
+    upstreams.sends()
+}
+
+#[rstest]
+#[case::slow(900, 1)]
+#[case::stalled(1_000, 2)]
+#[tokio::test]
+async fn stalled_stream_is_moved_while_others_of_its_upstream_go_on(
+    #[case] gap_ms: u64,
+    #[case] sends: usize,
+) {
+    assert_eq!(sends_after_a_gap(Duration::from_millis(gap_ms)).await, sends);
+}
