Use the load that upstreams state about themselves

Callers would see: late responses from upstreams that other nodes have filled since their last heartbeats. Cause: nothing read X-Instance-Load. Change: a statement corrects the counted load of its upstream until the next round of heartbeats, and never below this node's own requests. Measured: not by itself; at 6 nodes heartbeats arrive each 50 ms, so little is expected there.

--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -73,6 +73,17 @@
     pub body: Box<dyn ResponseBody>,
 }
 
+/// Load that an upstream states in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there for a slot.
+    pub waiting: u32,
+    /// Number of requests that it runs concurrently.
+    pub slots: u32,
+}
+
 /// What an upstream states about itself in a response, whatever its status.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamNotice {
@@ -80,6 +91,8 @@
     pub is_leaving: bool,
     /// Time for which it wants no further requests from this node.
     pub pause: Option<Duration>,
+    /// Its load when it sent the response head.
+    pub load: Option<StatedLoad>,
 }
 
 /// Result of sending a request.
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         directory::Upstream,
+        interfaces::StatedLoad,
         membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
         spread::{SendRate, choose_below_level},
     },
@@ -35,6 +36,9 @@
 /// Time without new requests for an upstream that could not be reached.
 pub const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(1_000);
 
+/// Time for which a load that an upstream stated is used, at least.
+const MIN_STATED_LOAD_TIME: Duration = Duration::from_millis(50);
+
 /// Longest pause that an upstream may ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
@@ -66,6 +70,9 @@
     cooldown_until: Option<Instant>,
     /// Start time of the run of the upstream that asked for a pause, and the end of the pause.
     pause: Option<(u64, Instant)>,
+    /// Difference between the load that the upstream stated and the one that was counted then, and
+    /// the time until which it is used.
+    correction: Option<(i64, Instant)>,
     failure_rate: f64,
     event_interval_ms: Option<f64>,
     send_rate: SendRate,
@@ -139,7 +146,7 @@
         let scores: Vec<(f64, &Arc<Upstream>)> = candidates
             .into_iter()
             .filter(|u| is_eligible(u))
-            .filter_map(|u| Some((self.score(u, data_centre, reserved_share)?, u)))
+            .filter_map(|u| Some((self.score(now, u, data_centre, reserved_share)?, u)))
             .collect();
         let unseen = self.expected_unseen_sends(now, upstreams);
         match choose_below_level(&scores, 1.0 + unseen, rng) {
@@ -170,7 +177,7 @@
         upstreams
             .iter()
             .filter(|u| !excluded.contains(&u.instance) && self.is_healthy(now, u))
-            .any(|u| self.score(u, "", 0.0).is_some())
+            .any(|u| self.score(now, u, "", 0.0).is_some())
     }
 
     /// Load score of an upstream, lower being better; `None` if it is full.
@@ -178,14 +185,20 @@
     /// What peers have sent since their latest heartbeats is not known here, so each of them is
     /// assumed to have sent as many requests as this node has since its last but one round of them.
     /// Otherwise all nodes with queued requests would overload a group at the moment it opens.
-    fn score(&self, upstream: &Upstream, data_centre: &str, reserved_share: f64) -> Option<f64> {
+    fn score(
+        &self,
+        now: Instant,
+        upstream: &Upstream,
+        data_centre: &str,
+        reserved_share: f64,
+    ) -> Option<f64> {
         let unreported = self
             .by_key
             .get(&upstream.key)
             .map_or(0, |l| l.local_in_flight.saturating_sub(l.reported[0]));
         let peer_nodes = u32::try_from(self.peer_loads.len()).unwrap_or(u32::MAX);
         let in_flight =
-            self.in_flight(upstream.key).saturating_add(unreported.saturating_mul(peer_nodes));
+            self.estimate(now, upstream.key).saturating_add(unreported.saturating_mul(peer_nodes));
         let reserved_slots = (f64::from(upstream.slots) * reserved_share).ceil() as u32;
         if in_flight + reserved_slots >= upstream.slots + MAX_EXCESS_REQUESTS {
             return None;
@@ -279,6 +292,27 @@
         self.by_key.get(&key).map_or(0, |l| l.local_in_flight + l.peer_in_flight)
     }
 
+    /// Requests in flight at an upstream, as counted and corrected by what it stated lately.
+    fn estimate(&self, now: Instant, key: UpstreamKey) -> u32 {
+        let Some(load) = self.by_key.get(&key) else { return 0 };
+        let correction = load.correction.filter(|(_, until)| now < *until).map_or(0, |(c, _)| c);
+        let counted = i64::from(load.local_in_flight) + i64::from(load.peer_in_flight);
+        let estimate = (counted + correction).max(load.local_in_flight.into());
+        u32::try_from(estimate).unwrap_or(u32::MAX)
+    }
+
+    /// Records the load that an upstream stated; it is used until the peers have reported theirs.
+    ///
+    /// The counts of this node's own requests stay exact, so a statement only corrects what is known
+    /// of the others.
+    pub fn record_stated_load(&mut self, now: Instant, key: UpstreamKey, stated: StatedLoad) {
+        let until = now + heartbeat_round(self.peer_loads.len()).max(MIN_STATED_LOAD_TIME);
+        let load = self.entry(now, key);
+        let counted = i64::from(load.local_in_flight) + i64::from(load.peer_in_flight);
+        let stated = i64::from(stated.running) + i64::from(stated.waiting);
+        load.correction = Some((stated - counted, until));
+    }
+
     /// Whether any upstream has a request in flight, from any node.
     pub fn has_in_flight(&self) -> bool {
         self.by_key.values().any(|l| l.local_in_flight + l.peer_in_flight > 0)
@@ -410,6 +444,7 @@
             peer_last_progress: None,
             cooldown_until: None,
             pause: None,
+            correction: None,
             failure_rate: 0.0,
             event_interval_ms: None,
             send_rate: SendRate::new(now),
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -78,6 +78,9 @@
                 .with("pause_ms", pause.as_millis())
                 .info();
         }
+        if let Some(load) = notice.load {
+            self.tables.balancer.lock().loads.record_stated_load(now, upstream.key, load);
+        }
         if notice.is_leaving && self.tables.mark_leaving(now, upstream) {
             self.upstream_client.close_idle_connections(&upstream.instance);
             logs::event("upstream_leaving").with("upstream", &upstream.instance).info();
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -20,7 +20,7 @@
     turmerictack_routing::quarantine::UpstreamLoss,
     turmerictack_serving::{
         directory::Instance,
-        interfaces::{SendError, UpstreamNotice},
+        interfaces::{SendError, StatedLoad, UpstreamNotice},
         proxy::Proxy,
         rejection::{ExecutionStatus, Reason, Rejection},
         request::Reply,
@@ -369,7 +369,8 @@
     let clock = Arc::new(ManualClock::default());
     let (proxy, upstreams) = proxy_with_clock(&tables, clock.clone());
     upstreams.set_default(ScriptedAction::Respond(200, "yes"));
-    *upstreams.notice.lock().unwrap() = Some(UpstreamNotice { is_leaving: true, pause: None });
+    *upstreams.notice.lock().unwrap() =
+        Some(UpstreamNotice { is_leaving: true, ..UpstreamNotice::default() });
     let leaving = lookup_upstreams(&proxy, &upstreams, &clock, 1).await;
     *upstreams.notice.lock().unwrap() = None;
     let others = lookup_upstreams(&proxy, &upstreams, &clock, 20).await;
@@ -401,7 +402,7 @@
     upstreams.set_default(ScriptedAction::Respond(200, "yes"));
     upstreams.script("p0", [ScriptedAction::Fail(SendError::Overloaded)]);
     *upstreams.notice.lock().unwrap() =
-        Some(UpstreamNotice { is_leaving: false, pause: Some(PAUSE) });
+        Some(UpstreamNotice { pause: Some(PAUSE), ..UpstreamNotice::default() });
     while !lookup_upstreams(&proxy, &upstreams, &clock, 1).await.contains("p0") {}
     *upstreams.notice.lock().unwrap() = None;
     // Both instances have asked for the pause, since the request was sent to the other one next.
@@ -564,3 +565,23 @@
 ) {
     assert_eq!(sends_after_a_gap(Duration::from_millis(gap_ms)).await, sends);
 }
+
+/// An upstream that states a high load gets requests again once the statement is outdated.
+#[rstest]
+#[tokio::test]
+async fn stated_load_is_used_until_it_is_outdated() {
+    const STATED_FOR: Duration = Duration::from_millis(50);
+    let tables = tables();
+    let clock = Arc::new(ManualClock::default());
+    let (proxy, upstreams) = proxy_with_clock(&tables, clock.clone());
+    upstreams.set_default(ScriptedAction::Respond(200, "yes"));
+    let load = Some(StatedLoad { running: 2, waiting: 2, slots: 2 });
+    *upstreams.notice.lock().unwrap() = Some(UpstreamNotice { load, ..UpstreamNotice::default() });
+    let busy = lookup_upstreams(&proxy, &upstreams, &clock, 1).await;
+    *upstreams.notice.lock().unwrap() = None;
+    let others = lookup_upstreams(&proxy, &upstreams, &clock, 20).await;
+    assert!(others.is_disjoint(&busy), "{others:?}");
+    clock.advance(STATED_FOR);
+    let all = lookup_upstreams(&proxy, &upstreams, &clock, 40).await;
+    assert!(all.is_superset(&busy), "{all:?}");
+}
