Learn of the store's changes through a few nodes

Cause: each node watches two kinds of objects and reads again for every change. Change: in clusters of 12 or more live nodes, two nodes of each data centre, of those with the most capacity, watch the store; the others ask them over the inner protocol and hold a request open for 400 ms. serving::relay decides whom a node asks (source) and follows the changes (facts): never backwards, with a digest of names and versions that shows a missed change, with the age of the confirmation counted from the start of the store's read. A node asks the store itself when its relays are silent, behind, or their facts older than 0.8 of the tightest bound on changes; a relay that lost the store's history passes on the differences. The leader of group control is a node that watches the store. The inner protocol has version 3, heartbeats version 4. Ruled out: stale reads (their age has no bound), relayed clocks (an age that is counted by the sender's clock can hide the time on the way).

--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -14,6 +14,8 @@
 pub enum LockRank {
     /// Accepted services configuration.
     Settings,
+    /// Objects of the store, as this node passes them on to others.
+    Facts,
     /// Membership of the cluster of nodes.
     Members,
     /// Instances, their health reports and the replica groups.
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -29,6 +29,8 @@
                 PeerResponse::ProbeResult(matches!(result, Ok(PeerResponse::Ack(_))))
             }
             PeerRequest::Settings { known_revision } => settings(&shared, known_revision),
+            // Nodes behind the stand-in platform read it themselves.
+            PeerRequest::Changes { .. } => PeerResponse::Busy,
             PeerRequest::Reports { run, last_change } => {
                 let job_shared = Arc::clone(&shared);
                 let response = shared.run_job(move || {
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -142,7 +142,8 @@
             }
         };
         let timed_out = || PeerError::Timeout { address: address.clone() };
-        let response = timeout(RESPONSE_TIMEOUT, exchange).await.map_err(|_| timed_out())?;
+        let response =
+            timeout(RESPONSE_TIMEOUT + request.wait(), exchange).await.map_err(|_| timed_out())?;
         let response =
             response.ok_or_else(|| PeerError::Disconnected { address: address.clone() })?;
         decode(&response).map_err(|_| PeerError::Codec { address: address.clone() })
--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -5,11 +5,11 @@
 
 use {
     bincode::{Decode, Encode},
-    turmerictack_model::ids::{Address, Incarnation, InstanceId, NodeId, PromptPartId},
+    turmerictack_model::ids::{Address, DataCentre, Incarnation, InstanceId, NodeId, PromptPartId},
 };
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-pub const HEARTBEAT_VERSION: u16 = 3;
+pub const HEARTBEAT_VERSION: u16 = 4;
 
 /// Hash of an upstream's name, which keeps a heartbeat that lists dozens of upstreams small.
 pub type UpstreamKey = u32;
@@ -59,6 +59,10 @@
     pub address: Address,
     /// Incarnation of the sender.
     pub incarnation: Incarnation,
+    /// Data centre of the sender.
+    pub data_centre: DataCentre,
+    /// Processor capacity of the sender, in thousandths of a core.
+    pub capacity: u16,
     /// Whether the sender's view of the instances is up to date.
     pub has_fresh_view: bool,
     /// Whether the sender is shutting down.
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,13 +2,15 @@
 
 use {
     bincode::{Decode, Encode},
+    std::time::Duration,
     turmerictack_model::ids::{
-        Address, DataCentre, Epoch, GroupId, Incarnation, InstanceId, NodeId, Revision,
+        Address, DataCentre, Epoch, GroupId, Incarnation, InstanceId, NodeId, ObjectName, Revision,
+        Version,
     },
 };
 
 /// Version of the message format; the handshake fails between nodes of different versions.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// State of a node in the membership protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -99,6 +101,42 @@
 /// Duration in units of 10 ms, rounded up.
 pub type Centiseconds = u32;
 
+/// Kind of objects of the platform's store that nodes pass on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum PeerObjectKind {
+    /// Services configuration.
+    Configuration,
+    /// Instances.
+    Instances,
+}
+
+/// Change of an object of the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PeerObjectChange {
+    /// Name of the object.
+    pub name: ObjectName,
+    /// Version of the change.
+    pub version: Version,
+    /// Value of the object as JSON text; `None` if it was deleted.
+    pub value: Option<String>,
+}
+
+/// Changes of the objects of one kind.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PeerChanges {
+    /// Version up to which the changes are complete.
+    pub version: Version,
+    /// Changes after the requested version, in order of version.
+    pub changes: Vec<PeerObjectChange>,
+    /// Digest of the names and versions of all objects.
+    pub digest: u64,
+    /// Time in ms from the start of the read that last confirmed the version to the arrival of the
+    /// request, rounded up.
+    pub confirmed_age_ms: u32,
+    /// Time in ms since the end of the last outage of the store.
+    pub outage_age_ms: Option<u32>,
+}
+
 /// Request to another node.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum PeerRequest {
@@ -126,13 +164,29 @@
         /// Number of the last change that the requesting node has.
         last_change: u64,
     },
+    /// Requests the changes of objects after a version from a node that watches the store.
+    Changes {
+        /// Kind of the objects.
+        kind: PeerObjectKind,
+        /// Version that the requesting node has.
+        after: Version,
+        /// Time in ms for which the request may be held open until there is a change.
+        wait_ms: u32,
+    },
 }
 
 impl PeerRequest {
-    /// Whether the request is sent periodically and answered without delay, so that it goes over a
-    /// persistent stream.
+    /// Whether the request is sent again and again, so that it goes over a persistent stream.
     pub fn is_frequent(&self) -> bool {
-        matches!(self, Self::Probe(_) | Self::Reports { .. })
+        matches!(self, Self::Probe(_) | Self::Reports { .. } | Self::Changes { .. })
+    }
+
+    /// Time for which the receiver may hold the request open before it answers.
+    pub fn wait(&self) -> Duration {
+        match self {
+            Self::Changes { wait_ms, .. } => Duration::from_millis(u64::from(*wait_ms)),
+            _ => Duration::ZERO,
+        }
     }
 }
 
@@ -169,6 +223,10 @@
         /// Greatest age of the reports, without those of engine instances in no group.
         age: Centiseconds,
     },
+    /// Changes of objects.
+    Changes(PeerChanges),
+    /// The node does not know all changes since the requested version.
+    HistoryTooShort,
     /// The node cannot answer at the moment.
     Busy,
 }
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -4,6 +4,7 @@
     crate::{
         interfaces::{NodeList, PeerTransport},
         membership::{HEARTBEAT_INTERVAL, LeaderStatus},
+        relay::source::RelayCandidate,
         tables::Tables,
     },
     std::{
@@ -13,7 +14,7 @@
     tokio::time::sleep,
     turmerictack_model::{
         clock::Clock,
-        ids::{Address, Incarnation, NodeId},
+        ids::{Address, DataCentre, Incarnation, NodeId},
     },
     turmerictack_protocol::{
         codec::{decode, encode},
@@ -44,6 +45,21 @@
     pub address: Address,
     /// Incarnation of the process; higher after a restart.
     pub incarnation: Incarnation,
+    /// Data centre of the node.
+    pub data_centre: DataCentre,
+    /// Processor capacity, in thousandths of a core.
+    pub capacity: u16,
+}
+
+impl NodeIdentity {
+    /// This node as a candidate for watching the store for others.
+    pub fn relay_candidate(&self) -> RelayCandidate {
+        RelayCandidate {
+            address: self.address.clone(),
+            data_centre: self.data_centre.clone(),
+            capacity: self.capacity,
+        }
+    }
 }
 
 /// Updates that are sent to each peer once, in the same round of heartbeats.
@@ -115,11 +131,14 @@
             let lifecycle = self.tables.lifecycle.lock();
             (lifecycle.draining, lifecycle.is_leader)
         };
+        let has_fresh_view = has_fresh_view && self.tables.watches_store();
         Heartbeat {
             version: HEARTBEAT_VERSION,
             node: self.identity.node.clone(),
             address: self.identity.address.clone(),
             incarnation: self.identity.incarnation,
+            data_centre: self.identity.data_centre.clone(),
+            capacity: self.identity.capacity,
             has_fresh_view,
             leaving,
             is_leader,
@@ -150,13 +169,22 @@
         let now = self.clock.now();
         let eligible = heartbeat.has_fresh_view && !heartbeat.leaving;
         let status = LeaderStatus { eligible, is_leader: heartbeat.is_leader };
-        self.tables.peers.lock().record_heartbeat(
-            now,
-            &heartbeat.node,
-            &heartbeat.address,
-            heartbeat.incarnation,
-            status,
-        );
+        let candidate = RelayCandidate {
+            address: heartbeat.address.clone(),
+            data_centre: heartbeat.data_centre,
+            capacity: heartbeat.capacity,
+        };
+        {
+            let mut peers = self.tables.peers.lock();
+            peers.record_heartbeat(
+                now,
+                &heartbeat.node,
+                &heartbeat.address,
+                heartbeat.incarnation,
+                status,
+            );
+            peers.record_candidate(&heartbeat.node, candidate);
+        }
         {
             let mut balancer = self.tables.balancer.lock();
             balancer.loads.merge_peer_loads(now, &heartbeat.node, &heartbeat.loads);
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -1,7 +1,10 @@
 //! Traits through which the core reaches upstreams, the plan store and other nodes.
 
 use {
-    crate::request::{ResponseHead, UpstreamRequest},
+    crate::{
+        relay::{ChangeSet, FactKind, RelayError},
+        request::{ResponseHead, UpstreamRequest},
+    },
     async_trait::async_trait,
     bytes::Bytes,
     displaydoc::Display,
@@ -202,3 +205,20 @@
     /// Heartbeat addresses of the registered nodes; `None` if the list cannot be read.
     async fn addresses(&self) -> Option<Vec<Address>>;
 }
+
+/// Requests to nodes that watch the store for others.
+#[async_trait]
+pub trait RelayClient: Send + Sync {
+    /// Asks the node at `relay` for the changes after a version, and waits for the first one for up
+    /// to `wait`.
+    ///
+    /// # Errors
+    /// [`RelayError::NoResponse`], [`RelayError::NotWatching`] or [`RelayError::HistoryTooShort`].
+    async fn changes_since(
+        &self,
+        relay: &Address,
+        kind: FactKind,
+        after: Version,
+        wait: Duration,
+    ) -> Result<ChangeSet, RelayError>;
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod proxy;
 pub mod queue;
 pub mod rejection;
+pub mod relay;
 pub mod request;
 pub mod response_time;
 pub mod retry_budget;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -1,6 +1,7 @@
 //! Liveness of nodes, and election of the node that leads group control.
 
 use {
+    crate::relay::source::RelayCandidate,
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -41,6 +42,7 @@
     incarnation: Incarnation,
     last_heartbeat: Instant,
     status: LeaderStatus,
+    candidate: Option<RelayCandidate>,
 }
 
 /// What a node announces about its leadership.
@@ -85,10 +87,25 @@
         if self.peers.get(node).is_some_and(|p| p.incarnation > incarnation) {
             return;
         }
-        let peer = Peer { address: address.clone(), incarnation, last_heartbeat: now, status };
+        let candidate = self.peers.get(node).and_then(|p| p.candidate.clone());
+        let peer =
+            Peer { address: address.clone(), incarnation, last_heartbeat: now, status, candidate };
         self.peers.insert(node.clone(), peer);
     }
 
+    /// Records what a peer says about itself as a candidate for watching the store.
+    pub fn record_candidate(&mut self, node: &NodeId, candidate: RelayCandidate) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.candidate = Some(candidate);
+        }
+    }
+
+    /// Live peers that may watch the store for others.
+    pub fn relay_candidates(&self, now: Instant) -> Vec<RelayCandidate> {
+        let alive = self.peers.values().filter(|p| self.is_alive(now, p));
+        alive.filter_map(|p| p.candidate.clone()).collect()
+    }
+
     /// Replaces the addresses of the platform's list of nodes.
     pub fn set_registered(&mut self, now: Instant, addresses: Vec<Address>) {
         self.registered.retain(|address, _| addresses.contains(address));
--- /dev/null
+++ b/crates/serving/src/relay/facts.rs
@@ -0,0 +1,194 @@
+//! What a node knows of the objects of one kind, and the changes that it passes on.
+
+use {
+    super::{ChangeSet, ObjectChange, RelayError, digest, digest_part},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::{Duration, Instant},
+    },
+    turmerictack_model::ids::{ObjectName, Version},
+};
+
+/// Maximum number of changes that are kept; a node that lags further behind reads the store.
+const MAX_CHANGES: usize = 4_096;
+
+/// Objects of one kind as a node knows them from the store or a relay.
+#[derive(Debug, Default)]
+pub struct Facts {
+    versions: BTreeMap<ObjectName, Version>,
+    digest: u64,
+    version: Version,
+    confirmed_at: Option<Instant>,
+    outage_ended: Option<Instant>,
+    /// Whether this node watches the store, so that others may ask it.
+    is_watching: bool,
+    /// Changes since this node began to watch, up to [`MAX_CHANGES`].
+    changes: VecDeque<ObjectChange>,
+    /// Version after which `changes` are complete.
+    complete_after: Version,
+}
+
+impl Facts {
+    /// Version up to which the known objects are complete; never decreases.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Start of the read of the store, by this or another node, that last confirmed the version.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at
+    }
+
+    /// End of the last outage of the store that this node knows of.
+    pub fn outage_ended(&self) -> Option<Instant> {
+        self.outage_ended
+    }
+
+    /// Sets whether this node watches the store for others.
+    pub fn set_watching(&mut self, is_watching: bool) {
+        if is_watching && !self.is_watching {
+            self.changes.clear();
+            self.complete_after = self.version;
+        }
+        self.is_watching = is_watching;
+    }
+
+    /// Records a listing of all objects by the store; returns `false` if it is older than what is
+    /// known, in which case it is ignored.
+    ///
+    /// The differences from the known objects are passed on as changes, so a relay that has lost the
+    /// history of the store does not make others lose theirs.
+    pub fn record_listing(&mut self, version: Version, objects: Vec<ObjectChange>) -> bool {
+        if version < self.version {
+            return false;
+        }
+        let listed: BTreeMap<ObjectName, Version> =
+            objects.iter().map(|o| (o.name.clone(), o.version)).collect();
+        if self.is_watching && self.confirmed_at.is_some() {
+            let vanished = self.versions.keys().filter(|name| !listed.contains_key(*name));
+            let deletions =
+                vanished.map(|name| ObjectChange { name: name.clone(), version, value: None });
+            let mut differences: Vec<ObjectChange> = deletions.collect();
+            let is_new = |o: &ObjectChange| self.versions.get(&o.name) != Some(&o.version);
+            differences.extend(objects.into_iter().filter(is_new));
+            differences.sort_by_key(|change| change.version);
+            self.log(differences);
+        }
+        self.digest = digest(&listed);
+        self.versions = listed;
+        self.version = version;
+        if self.confirmed_at.is_none() {
+            self.complete_after = version;
+        }
+        true
+    }
+
+    /// Records changes after the known version that the store returned, complete up to `version`.
+    pub fn record_changes(&mut self, version: Version, changes: Vec<ObjectChange>) {
+        for change in &changes {
+            self.apply(change);
+        }
+        if self.is_watching {
+            self.log(changes);
+        }
+        self.version = self.version.max(version);
+    }
+
+    /// Records that a read of the store that began at `started_at` was answered.
+    pub fn record_read(&mut self, started_at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(started_at));
+    }
+
+    /// Records the end of an outage of the store.
+    pub fn record_outage_end(&mut self, at: Instant) {
+        self.outage_ended = self.outage_ended.max(Some(at));
+    }
+
+    /// Follows the answer of a relay to a request that was sent at `sent_at` and answered at `now`,
+    /// and returns the changes that are new.
+    ///
+    /// # Errors
+    /// [`RelayError::Behind`] if the relay knows less; nothing changes then.
+    /// [`RelayError::Incomplete`] if the result is not what the relay knows; the store has to be
+    /// listed then.
+    pub fn follow_relay(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        set: ChangeSet,
+    ) -> Result<Vec<ObjectChange>, RelayError> {
+        if set.version < self.version {
+            return Err(RelayError::Behind);
+        }
+        let known = self.version;
+        let changes: Vec<ObjectChange> =
+            set.changes.into_iter().filter(|change| change.version > known).collect();
+        for change in &changes {
+            self.apply(change);
+        }
+        if self.digest != set.digest {
+            return Err(RelayError::Incomplete);
+        }
+        self.version = set.version;
+        if let Some(confirmed_at) = sent_at.checked_sub(set.confirmed_age) {
+            self.record_read(confirmed_at);
+        }
+        if let Some(ended) = set.outage_age.and_then(|age| now.checked_sub(age)) {
+            self.record_outage_end(ended);
+        }
+        Ok(changes)
+    }
+
+    /// Changes after a version, for a request that arrived at `arrived_at`.
+    ///
+    /// # Errors
+    /// [`RelayError::NotWatching`] or [`RelayError::HistoryTooShort`].
+    pub fn changes_since(
+        &self,
+        now: Instant,
+        arrived_at: Instant,
+        after: Version,
+    ) -> Result<ChangeSet, RelayError> {
+        let confirmed_at =
+            self.confirmed_at.filter(|_| self.is_watching).ok_or(RelayError::NotWatching)?;
+        if after < self.complete_after {
+            return Err(RelayError::HistoryTooShort);
+        }
+        let first = self.changes.partition_point(|change| change.version <= after);
+        let age = |at: Instant| now.saturating_duration_since(at);
+        Ok(ChangeSet {
+            version: self.version,
+            changes: self.changes.range(first..).cloned().collect(),
+            digest: self.digest,
+            confirmed_age: arrived_at.saturating_duration_since(confirmed_at),
+            outage_age: self.outage_ended.map(age),
+        })
+    }
+
+    /// Age of the last confirmation; `None` if there is none.
+    pub fn confirmed_age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    fn apply(&mut self, change: &ObjectChange) {
+        let replaced = match &change.value {
+            Some(_) => self.versions.insert(change.name.clone(), change.version),
+            None => self.versions.remove(&change.name),
+        };
+        if let Some(version) = replaced {
+            self.digest ^= digest_part(&change.name, version);
+        }
+        if change.value.is_some() {
+            self.digest ^= digest_part(&change.name, change.version);
+        }
+    }
+
+    fn log(&mut self, changes: Vec<ObjectChange>) {
+        self.changes.extend(changes);
+        while self.changes.len() > MAX_CHANGES {
+            if let Some(dropped) = self.changes.pop_front() {
+                self.complete_after = dropped.version;
+            }
+        }
+    }
+}
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -8,6 +8,7 @@
         load::{LoadTracker, Selection, UpstreamOutcome},
         membership::PeerTable,
         queue::{Admission, Queues, SchedulingParams, Ticket},
+        relay::board::FactBoard,
         response_time::ResponseTimes,
         retry_budget::{RetryBudget, RetryBudgetConfig},
     },
@@ -60,8 +61,11 @@
     pub draining: bool,
     /// Whether it leads group control.
     pub is_leader: bool,
-    /// Time at which the store last answered a read of the instances.
+    /// Time at which the store, or a relay that is up to date, last answered a read of the
+    /// instances.
     pub instances_synced_at: Option<Instant>,
+    /// Whether this node learns of the instances from relays instead of the store.
+    pub follows_relays: bool,
 }
 
 /// All shared state of a node.
@@ -85,6 +89,8 @@
     pub retry_budget: Table<RetryBudget>,
     /// State of the node itself.
     pub lifecycle: Table<Lifecycle>,
+    /// Objects of the store, as this node passes them on to others.
+    pub facts: FactBoard,
 }
 
 /// Result of placing a request.
@@ -118,6 +124,7 @@
             prompt_quarantine: Table::new(LockRank::PromptQuarantine, PromptQuarantine::default()),
             retry_budget: Table::new(LockRank::RetryBudget, RetryBudget::new(retry_budget)),
             lifecycle: Table::new(LockRank::Lifecycle, Lifecycle::default()),
+            facts: FactBoard::default(),
         }
     }
 
@@ -172,6 +179,11 @@
         self.lifecycle.lock().instances_synced_at.is_some_and(|at| now < at + INSTANCE_VIEW_TIMEOUT)
     }
 
+    /// Whether this node watches the instances in the store itself.
+    pub fn watches_store(&self) -> bool {
+        !self.lifecycle.lock().follows_relays
+    }
+
     /// Applies what another node has observed about prompts that crashed engines.
     pub fn apply_prompt_updates(&self, now: Instant, updates: PromptUpdates) {
         self.update_prompt_quarantine(|q| {
--- a/crates/serving/tests/heartbeats.rs
+++ b/crates/serving/tests/heartbeats.rs
@@ -66,8 +66,13 @@
     #[values(9, 85, 380)] nodes: usize,
 ) {
     let transport = Arc::new(CountingTransport::default());
-    let identity =
-        NodeIdentity { node: "node".to_owned(), address: OWN.to_owned(), incarnation: 1 };
+    let identity = NodeIdentity {
+        node: "node".to_owned(),
+        address: OWN.to_owned(),
+        incarnation: 1,
+        data_centre: "dc-1".to_owned(),
+        capacity: 250,
+    };
     let started = Instant::now();
     HeartbeatExchange::spawn(
         tables(),
