Keep requests away from groups that stand still

Cause: a group whose member is lost accepts requests for up to the stall timeout and answers none. A node moves its request away after 450 ms, and then the group had no request in flight there: it looked idle and attracted the next one, at every node, since a stall counted only while a request was in flight, and heartbeats reported it for as long. Change: a node remembers a stall for 4 s, or until an event arrives from there at any node, or the instance heads another group. Stalls are reported for as long, and a node passes on those that it has just learned of, so that all nodes know them within a few intervals of heartbeats. Also: counts of peers are updated by differences and the mean time between events is computed once a choice; both grew with the square of the cluster.

--- a/crates/serving/src/group_controller.rs
+++ b/crates/serving/src/group_controller.rs
@@ -296,7 +296,7 @@
             }
         }
         let (suspects, progressing, has_traffic) = {
-            let mut balancer = self.tables.balancer.lock();
+            let balancer = self.tables.balancer.lock();
             let has_traffic = balancer.loads.has_in_flight();
             let suspects = balancer.loads.suspects(now);
             let heads = plan.groups.values().filter_map(|g| g.head());
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -124,7 +124,7 @@
     fn build_heartbeat(&self, now: Instant, updates: &RoundUpdates) -> Heartbeat {
         let (loads, unresponsive) = {
             let balancer = self.tables.balancer.lock();
-            (balancer.loads.local_loads(now), balancer.loads.stalled_upstreams(now))
+            (balancer.loads.local_loads(now), balancer.loads.stalls_to_report(now))
         };
         let has_fresh_view = self.tables.has_fresh_view(now);
         let (leaving, is_leader) = {
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        directory::Upstream,
+        directory::{Upstream, upstream_key},
         interfaces::StatedLoad,
         membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
         spread::{SendRate, choose_below_level},
@@ -13,7 +13,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    turmerictack_model::ids::{InstanceId, NodeId},
+    turmerictack_model::ids::{GroupId, InstanceId, NodeId},
     turmerictack_protocol::heartbeat::{HeartbeatLoad, UpstreamKey},
 };
 
@@ -45,6 +45,13 @@
 /// Time for which an instance that was reported stalled stays suspected.
 const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time for which a suspicion that was reported by a peer is passed on.
+const SUSPICION_NEWS_TIME: Duration = Duration::from_millis(200);
+
+/// Time for which a node remembers that a group has stalled; about the time after which the head of
+/// the group notices that a member is missing.
+const STALL_MEMORY: Duration = Duration::from_secs(4);
+
 /// Advantage of an upstream in the same data centre, in requests in flight.
 const LOCAL_DATA_CENTRE_BONUS: f64 = 0.5;
 
@@ -57,7 +64,7 @@
 /// Weight of the latest interval in the moving average of the time between events.
 const INTERVAL_EWMA_WEIGHT: f64 = 0.2;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct UpstreamLoad {
     local_in_flight: u32,
     /// Local requests in flight at the start of the last two rounds of heartbeats, the older one
@@ -66,6 +73,10 @@
     peer_in_flight: u32,
     busy_since: Instant,
     last_progress: Option<Instant>,
+    /// Time at which a request was last moved away because of a stall.
+    stalled_at: Option<Instant>,
+    /// Group that the upstream headed when it last got a request.
+    group: Option<GroupId>,
     peer_last_progress: Option<Instant>,
     cooldown_until: Option<Instant>,
     /// Start time of the run of the upstream that asked for a pause, and the end of the pause.
@@ -94,6 +105,8 @@
     Failure,
     /// The upstream was unreachable or rejected the request; it gets no new ones for this long.
     Cooldown(Duration),
+    /// The request was moved away because the upstream made no progress.
+    Stalled,
     /// No conclusion about the upstream.
     Inconclusive,
 }
@@ -143,10 +156,15 @@
                 !self.is_cooling_down(now, upstream)
             }
         };
+        let mean_interval = self.mean_event_interval();
+        let score = |u: &Upstream| {
+            let slowdown = self.relative_interval(u, mean_interval);
+            self.score(now, u, data_centre, reserved_share, slowdown)
+        };
         let scores: Vec<(f64, &Arc<Upstream>)> = candidates
             .into_iter()
             .filter(|u| is_eligible(u))
-            .filter_map(|u| Some((self.score(now, u, data_centre, reserved_share)?, u)))
+            .filter_map(|u| Some((score(u)?, u)))
             .collect();
         let unseen = self.expected_unseen_sends(now, upstreams);
         match choose_below_level(&scores, 1.0 + unseen, rng) {
@@ -177,7 +195,7 @@
         upstreams
             .iter()
             .filter(|u| !excluded.contains(&u.instance) && self.is_healthy(now, u))
-            .any(|u| self.score(now, u, "", 0.0).is_some())
+            .any(|u| self.score(now, u, "", 0.0, 1.0).is_some())
     }
 
     /// Load score of an upstream, lower being better; `None` if it is full.
@@ -191,6 +209,7 @@
         upstream: &Upstream,
         data_centre: &str,
         reserved_share: f64,
+        slowdown: f64,
     ) -> Option<f64> {
         let unreported = self
             .by_key
@@ -203,23 +222,23 @@
         if in_flight + reserved_slots >= upstream.slots + MAX_EXCESS_REQUESTS {
             return None;
         }
-        let slowdown = self.relative_interval(upstream);
         let bonus = if upstream.data_centre == data_centre { LOCAL_DATA_CENTRE_BONUS } else { 0.0 };
         Some(f64::from(in_flight + 1) * slowdown - bonus)
     }
 
-    /// Mean time between events relative to that of all upstreams: 1 is average or faster, 2 twice
-    /// as slow.
-    fn relative_interval(&self, upstream: &Upstream) -> f64 {
-        let Some(own_interval) = self.by_key.get(&upstream.key).and_then(|l| l.event_interval_ms)
-        else {
-            return 1.0;
-        };
+    /// Mean time between events of all upstreams, in ms; 0 if none is known.
+    fn mean_event_interval(&self) -> f64 {
         let intervals = self.by_key.values().filter_map(|l| l.event_interval_ms);
         let (sum, count) =
             intervals.fold((0.0, 0), |(sum, count), interval| (sum + interval, count + 1));
-        let mean = sum / f64::from(count.max(1));
-        if mean > 0.0 { (own_interval / mean).max(1.0) } else { 1.0 }
+        sum / f64::from(count.max(1))
+    }
+
+    /// Mean time between events relative to that of all upstreams: 1 is average or faster, 2 twice
+    /// as slow.
+    fn relative_interval(&self, upstream: &Upstream, mean: f64) -> f64 {
+        let interval = self.by_key.get(&upstream.key).and_then(|l| l.event_interval_ms);
+        interval.filter(|_| mean > 0.0).map_or(1.0, |interval| (interval / mean).max(1.0))
     }
 
     fn is_cooling_down(&self, now: Instant, upstream: &Upstream) -> bool {
@@ -260,7 +279,10 @@
     }
 
     fn is_healthy(&self, now: Instant, upstream: &Upstream) -> bool {
-        if self.is_cooling_down(now, upstream) || self.is_stalled(now, upstream.key) {
+        if self.is_cooling_down(now, upstream)
+            || self.is_stalled(now, upstream.key)
+            || self.is_suspected(now, upstream)
+        {
             return false;
         }
         if upstream.is_incomplete && !self.has_recent_progress(now, upstream.key) {
@@ -281,6 +303,36 @@
             && now >= peer_last_activity + STALL_TIMEOUT
     }
 
+    /// Whether this node has lately moved a request away from the upstream because of a stall, and
+    /// neither it nor a peer has received an event from there since.
+    fn has_stalled(&self, now: Instant, load: &UpstreamLoad) -> bool {
+        let last_progress = load.last_progress.max(load.peer_last_progress);
+        let is_recent = |at: &Instant| now < *at + STALL_MEMORY;
+        load.stalled_at.filter(is_recent).is_some_and(|at| Some(at) > last_progress)
+    }
+
+    /// Whether this node or a peer has lately found the upstream stalled, and no event from there is
+    /// known since.
+    ///
+    /// A group that stands still has few requests in flight, since they are moved away. Without this
+    /// it would attract new ones, at every node.
+    fn is_suspected(&self, now: Instant, upstream: &Upstream) -> bool {
+        let Some(load) = self.by_key.get(&upstream.key) else { return false };
+        if load.group.is_some() && load.group != upstream.group {
+            return false;
+        }
+        let is_recent = |at: &&Instant| now < **at + STALL_MEMORY;
+        let suspected_at = self.suspects.get(&upstream.instance).filter(is_recent).copied();
+        let last_progress = load.last_progress.max(load.peer_last_progress);
+        self.has_stalled(now, load) || (suspected_at.is_some() && suspected_at > last_progress)
+    }
+
+    /// Time at which this node or a peer last received an event from an upstream.
+    fn last_progress(&self, key: UpstreamKey) -> Option<Instant> {
+        let load = self.by_key.get(&key)?;
+        load.last_progress.max(load.peer_last_progress)
+    }
+
     /// Whether this node or a peer has received an event from the upstream lately.
     pub fn has_recent_progress(&self, now: Instant, key: UpstreamKey) -> bool {
         let Some(load) = self.by_key.get(&key) else { return false };
@@ -325,6 +377,10 @@
             load.busy_since = now;
         }
         load.local_in_flight += 1;
+        if load.group != upstream.group {
+            load.group.clone_from(&upstream.group);
+            load.stalled_at = None;
+        }
         load.send_rate.record_send(now);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
@@ -342,6 +398,7 @@
                 load.failure_rate += (1.0 - load.failure_rate) * FAILURE_EWMA_WEIGHT
             }
             UpstreamOutcome::Cooldown(cooldown) => load.cooldown_until = Some(now + cooldown),
+            UpstreamOutcome::Stalled => load.stalled_at = Some(now),
             UpstreamOutcome::Inconclusive => {}
         }
     }
@@ -360,27 +417,44 @@
 
     /// Replaces the load last reported by a peer.
     pub fn merge_peer_loads(&mut self, now: Instant, node: &NodeId, loads: &[HeartbeatLoad]) {
-        let in_flight = loads.iter().map(|l| (l.upstream, u32::from(l.in_flight))).collect();
-        self.peer_loads.insert(node.clone(), PeerLoads { received_at: now, in_flight });
+        self.expire_peer_loads(now);
+        let in_flight: BTreeMap<UpstreamKey, u32> =
+            loads.iter().map(|l| (l.upstream, u32::from(l.in_flight))).collect();
+        for (key, count) in &in_flight {
+            self.entry(now, *key).peer_in_flight += count;
+        }
+        let previous =
+            self.peer_loads.insert(node.clone(), PeerLoads { received_at: now, in_flight });
+        if let Some(previous) = previous {
+            self.subtract_peer_loads(&previous);
+        }
         for load in loads.iter().filter(|l| l.progressing) {
             self.entry(now, load.upstream).peer_last_progress = Some(now);
         }
-        self.update_peer_totals(now);
     }
 
-    fn update_peer_totals(&mut self, now: Instant) {
+    /// Drops the loads of peers that have not reported for a while.
+    fn expire_peer_loads(&mut self, now: Instant) {
         let round = heartbeat_round(self.peer_loads.len());
         let timeout = MIN_PEER_LOAD_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS);
-        self.peer_loads.retain(|_, p| now < p.received_at + timeout);
-        let mut totals: BTreeMap<UpstreamKey, u32> = BTreeMap::new();
-        for (key, in_flight) in self.peer_loads.values().flat_map(|p| &p.in_flight) {
-            *totals.entry(*key).or_default() += in_flight;
-        }
-        for (key, load) in &mut self.by_key {
-            load.peer_in_flight = totals.remove(key).unwrap_or(0);
+        let expired: Vec<NodeId> = self
+            .peer_loads
+            .iter()
+            .filter(|(_, p)| now >= p.received_at + timeout)
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in expired {
+            if let Some(loads) = self.peer_loads.remove(&node) {
+                self.subtract_peer_loads(&loads);
+            }
         }
-        for (key, sum) in totals {
-            self.entry(now, key).peer_in_flight = sum;
+    }
+
+    fn subtract_peer_loads(&mut self, loads: &PeerLoads) {
+        for (key, count) in &loads.in_flight {
+            if let Some(load) = self.by_key.get_mut(key) {
+                load.peer_in_flight = load.peer_in_flight.saturating_sub(*count);
+            }
         }
     }
 
@@ -405,32 +479,52 @@
         self.by_key.iter().filter_map(to_heartbeat_load).collect()
     }
 
-    /// Upstreams that are stalled as seen by this node.
+    /// Upstreams that are stalled as seen by this node, or were when it last had requests there.
     pub fn stalled_upstreams(&self, now: Instant) -> Vec<InstanceId> {
-        let keys = self.by_key.keys().filter(|key| self.is_stalled(now, **key));
-        keys.filter_map(|key| self.instances.get(key).cloned()).collect()
+        let is_stalled =
+            |key: UpstreamKey, load| self.is_stalled(now, key) || self.has_stalled(now, load);
+        let stalled = self.by_key.iter().filter(|(key, load)| is_stalled(**key, load));
+        stalled.filter_map(|(key, _)| self.instances.get(key).cloned()).collect()
     }
 
-    /// Marks instances as suspected, whether detected here or reported by a peer.
+    /// Instances to report to peers: those that are stalled here, and those that others have just
+    /// reported, so that all nodes learn of them within a few intervals.
+    pub fn stalls_to_report(&self, now: Instant) -> Vec<InstanceId> {
+        let mut stalls = self.stalled_upstreams(now);
+        let news = self.suspects.iter().filter(|(_, at)| now < **at + SUSPICION_NEWS_TIME);
+        stalls.extend(news.map(|(id, _)| id.clone()));
+        stalls
+    }
+
+    /// Marks instances as suspected, whether detected here or reported by a peer; one that is
+    /// suspected already stays so for the rest of its time.
     pub fn record_suspects(
         &mut self,
         now: Instant,
         instances: impl IntoIterator<Item = InstanceId>,
     ) {
-        self.suspects.extend(instances.into_iter().map(|id| (id, now)));
+        self.suspects.retain(|_, at| now < *at + STALL_MEMORY);
+        for id in instances {
+            let last_progress = self.last_progress(upstream_key(&id));
+            let suspected_at = self.suspects.entry(id).or_insert(now);
+            if Some(*suspected_at) <= last_progress {
+                *suspected_at = now;
+            }
+        }
     }
 
     /// Instances that are stalled here or were marked as suspected lately.
-    pub fn suspects(&mut self, now: Instant) -> Vec<InstanceId> {
-        self.suspects.retain(|_, at| now < *at + SUSPICION_TIMEOUT);
+    pub fn suspects(&self, now: Instant) -> Vec<InstanceId> {
         let mut suspects = self.stalled_upstreams(now);
-        suspects.extend(self.suspects.keys().cloned());
+        let recent = self.suspects.iter().filter(|(_, at)| now < **at + SUSPICION_TIMEOUT);
+        suspects.extend(recent.map(|(id, _)| id.clone()));
         suspects
     }
 
-    /// Drops upstreams that are no longer listed and have no local requests in flight.
+    /// Drops upstreams that are no longer listed and have no requests in flight.
     pub fn retain(&mut self, is_listed: &dyn Fn(UpstreamKey) -> bool) {
-        self.by_key.retain(|key, load| load.local_in_flight > 0 || is_listed(*key));
+        let is_in_use = |load: &UpstreamLoad| load.local_in_flight + load.peer_in_flight > 0;
+        self.by_key.retain(|key, load| is_in_use(load) || is_listed(*key));
         self.instances.retain(|key, _| self.by_key.contains_key(key));
     }
 
@@ -441,6 +535,8 @@
             peer_in_flight: 0,
             busy_since: now,
             last_progress: None,
+            stalled_at: None,
+            group: None,
             peer_last_progress: None,
             cooldown_until: None,
             pause: None,
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -215,7 +215,7 @@
                     attempts.record_failure(&upstream.instance, &error)
                 }
                 SendResult::Stalled => {
-                    permit.release(UpstreamOutcome::Inconclusive);
+                    permit.release(UpstreamOutcome::Stalled);
                     self.after_stall(&mut attempts, &upstream)
                 }
                 SendResult::DeadlineExceeded => {
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -162,7 +162,7 @@
                     attempts.record_failure(&upstream.instance, &error);
                 }
                 SendResult::Stalled => {
-                    permit.release(UpstreamOutcome::Inconclusive);
+                    permit.release(UpstreamOutcome::Stalled);
                     attempts.record_execution(&upstream.instance);
                     is_prepaid = true;
                 }
@@ -226,7 +226,7 @@
                     if context.route.is_retryable()
                         && self.try_leave_stalled(context, &upstream, attempts) =>
                 {
-                    permit.release(UpstreamOutcome::Inconclusive);
+                    permit.release(UpstreamOutcome::Stalled);
                     return Err(self.after_stall(attempts, &upstream));
                 }
                 Err(_) => {}
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -131,7 +131,7 @@
                     let gap = self.proxy.clock.now().saturating_duration_since(self.last_progress);
                     let has_stalled = gap >= self.context.max_event_gap();
                     if self.proxy.try_leave(&self.context, &upstream, &self.attempts, has_stalled) {
-                        self.fail_over(UpstreamOutcome::Inconclusive, true).await?;
+                        self.fail_over(UpstreamOutcome::Stalled, true).await?;
                     }
                 }
             }
