--- a/crates/groups/tests/fabric/mod.rs
+++ b/crates/groups/tests/fabric/mod.rs
@@ -57,6 +57,8 @@
     pub load_starts: Vec<Duration>,
     pub delayed_orders: Vec<(Duration, InstanceId, u64, Order)>,
     pub trace: Vec<String>,
+    /// Whether engines accept joins with an epoch lower than one that they have seen.
+    pub accepts_old_epochs: bool,
 }
 
 impl Engine {
@@ -207,7 +209,7 @@
             Order::Join { group, epoch, model, members } => {
                 self.check_reassignment(id, group, *epoch);
                 let Some(engine) = self.engines.get_mut(id) else { return OrderResult::Gone };
-                if *epoch < engine.max_epoch {
+                if *epoch < engine.max_epoch && !self.accepts_old_epochs {
                     return OrderResult::Rejected;
                 }
                 if let Some(m) = &engine.member
@@ -226,7 +228,7 @@
                     engine.staged.insert(model.clone(), now + LOAD_TIME);
                     LOAD_TIME
                 };
-                engine.max_epoch = *epoch;
+                engine.max_epoch = engine.max_epoch.max(*epoch);
                 engine.last_model = Some(model.clone());
                 engine.member = Some(Member {
                     group: group.clone(),
@@ -303,7 +305,8 @@
     fn check_reassignment(&mut self, id: &str, group: &str, epoch: Epoch) {
         let Some(engine) = self.engines.get(id) else { return };
         let Some(member) = &engine.member else { return };
-        if epoch < engine.max_epoch || (member.group == group && member.epoch == epoch) {
+        let is_rejected = epoch < engine.max_epoch && !self.accepts_old_epochs;
+        if is_rejected || (member.group == group && member.epoch == epoch) {
             return;
         }
         let Some(head) = member.members.first().and_then(|h| self.engines.get(h)) else { return };
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -358,7 +358,17 @@
 
 /// Runs the history of a seed, prints the end of its trace if it fails, and returns the failures.
 fn run_history(seed: u64, rates: FaultRates) -> Vec<String> {
+    run_simulation(seed, Simulation::new(seed, rates))
+}
+
+/// Like [`run_history`], with engines that accept joins with old epochs.
+fn run_history_without_fencing(seed: u64, rates: FaultRates) -> Vec<String> {
     let mut simulation = Simulation::new(seed, rates);
+    simulation.cluster.accepts_old_epochs = true;
+    run_simulation(seed, simulation)
+}
+
+fn run_simulation(seed: u64, mut simulation: Simulation) -> Vec<String> {
     simulation.run();
     let mut failures = simulation.cluster.violations.clone();
     if failures.is_empty() {
@@ -417,3 +427,11 @@
         &failed[..failed.len().min(10)]
     );
 }
+
+/// Engines reject joins with an epoch lower than one that they have seen, whether or not they check
+/// fencing tokens, which orders do not carry. Without that, delayed joins would break promises.
+#[rstest]
+fn rejection_of_joins_with_old_epochs_is_needed() {
+    let has_failures = |seed: &u64| !run_history_without_fencing(*seed, HEAVY).is_empty();
+    assert!((0..30).any(|seed| has_failures(&seed)));
+}
