Pause flapping upstreams for longer

Callers would see: requests that meet an upstream again and again just as it goes down (srv_flap). Cause: each failure to reach an upstream paused it for 1 s, however often. Change: a failure within 10 s of the last pause doubles the pause, up to 4 s; an instance that heads another group starts anew. Evidence: upstream_that_flaps_gets_longer_pauses.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod config_state;
 pub mod directory;
+mod flap_damping;
 pub mod group_controller;
 pub mod heartbeat;
 pub mod interfaces;
--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         directory::{Upstream, upstream_key},
+        flap_damping::FlapDamping,
         interfaces::StatedLoad,
         membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
         spread::{SendRate, choose_below_level},
@@ -79,6 +80,7 @@
     group: Option<GroupId>,
     peer_last_progress: Option<Instant>,
     cooldown_until: Option<Instant>,
+    flaps: FlapDamping,
     /// Start time of the run of the upstream that asked for a pause, and the end of the pause.
     pause: Option<(u64, Instant)>,
     /// Difference between the load that the upstream stated and the one that was counted then, and
@@ -380,6 +382,7 @@
         if load.group != upstream.group {
             load.group.clone_from(&upstream.group);
             load.stalled_at = None;
+            load.flaps = FlapDamping::default();
         }
         load.send_rate.record_send(now);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
@@ -397,7 +400,10 @@
             UpstreamOutcome::Failure => {
                 load.failure_rate += (1.0 - load.failure_rate) * FAILURE_EWMA_WEIGHT
             }
-            UpstreamOutcome::Cooldown(cooldown) => load.cooldown_until = Some(now + cooldown),
+            UpstreamOutcome::Cooldown(cooldown) => {
+                let cooldown = load.flaps.damped(now, cooldown);
+                load.cooldown_until = Some(now + cooldown);
+            }
             UpstreamOutcome::Stalled => load.stalled_at = Some(now),
             UpstreamOutcome::Inconclusive => {}
         }
@@ -539,6 +545,7 @@
             group: None,
             peer_last_progress: None,
             cooldown_until: None,
+            flaps: FlapDamping::default(),
             pause: None,
             correction: None,
             failure_rate: 0.0,
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -333,3 +333,38 @@
         }
     }
 }
+
+/// Time for which an upstream gets no requests after each of `failures` failures, the next one as
+/// soon as it takes requests again, `steady` later.
+fn pauses_of_a_flapping_upstream(failures: usize, steady: Duration) -> Vec<u64> {
+    let mut loads = LoadTracker::default();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let upstreams = [upstream("u")];
+    let mut now = Instant::now();
+    let mut pauses = Vec::new();
+    for _ in 0..failures {
+        // Two requests fail at the same time.
+        for _ in 0..2 {
+            loads.acquire(now, &upstreams[0]);
+            let outcome = UpstreamOutcome::Cooldown(UNREACHABLE_COOLDOWN);
+            loads.release(now, upstreams[0].key, outcome);
+        }
+        let failed_at = now;
+        while !matches!(
+            loads.select(now, &upstreams, &[], "", 0.0, &mut rng),
+            Selection::Upstream(_)
+        ) {
+            now += Duration::from_millis(100);
+        }
+        pauses.push(now.saturating_duration_since(failed_at).as_millis() as u64);
+        now += steady;
+    }
+    pauses
+}
+
+#[rstest]
+#[case::flapping(Duration::from_secs(1), &[1_000, 2_000, 4_000, 4_000])]
+#[case::steady_between(Duration::from_secs(11), &[1_000, 1_000, 1_000])]
+fn upstream_that_flaps_gets_longer_pauses(#[case] steady: Duration, #[case] expected: &[u64]) {
+    assert_eq!(pauses_of_a_flapping_upstream(expected.len(), steady), expected);
+}
