Send half of the heartbeats in clusters of more than 100 nodes

Change: 4 an interval above 100 nodes. Nodes that watch the store, which alone may lead, send each other 4 more, so that the death of the leader is noticed within 1.5 s. Evidence: death_of_the_leader_of_a_large_cluster_is_noticed_in_time.

--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -104,7 +104,12 @@
                     prompts: self.tables.prompt_quarantine.lock().next_updates(self.clock.now()),
                 };
             }
-            self.broadcast(&batch.addresses, &updates).await;
+            let mut addresses = batch.addresses;
+            if self.tables.watches_store() {
+                let leaders = self.tables.peers.lock().next_leader_batch(self.clock.now());
+                addresses.extend(leaders.into_iter().filter(|a| *a != self.identity.address));
+            }
+            self.broadcast(&addresses, &updates).await;
             self.tables.dispatch_all_waiting(self.clock.now());
             sleep(HEARTBEAT_INTERVAL).await;
         }
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -21,15 +21,35 @@
 /// that talks to all others all the time has no processor time left for requests.
 pub const MAX_HEARTBEATS_PER_INTERVAL: usize = 8;
 
+/// The same number in clusters of more than [`LARGE_CLUSTER`] nodes.
+///
+/// There requests are spread as evenly with loads that are known half as often, and half of the
+/// datagrams are saved.
+const LARGE_CLUSTER_HEARTBEATS: usize = 4;
+
+/// Number of peers above which fewer heartbeats are sent.
+const LARGE_CLUSTER: usize = 100;
+
+/// Additional heartbeats in one interval, in a large cluster, between the nodes that may lead.
+const LEADER_HEARTBEATS: usize = 4;
+
+/// Time between two heartbeats up to which a peer counts as one that sends them frequently.
+const FREQUENT_HEARTBEAT: Duration = Duration::from_millis(500);
+
 /// Minimum time without a heartbeat after which a node counts as dead.
 const MIN_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Number of heartbeats in a row that must be missing for a node to count as dead.
 pub const MAX_MISSED_HEARTBEATS: u32 = 3;
 
+/// Number of peers to which a node sends heartbeats in one interval.
+pub fn heartbeats_per_interval(peers: usize) -> usize {
+    if peers > LARGE_CLUSTER { LARGE_CLUSTER_HEARTBEATS } else { MAX_HEARTBEATS_PER_INTERVAL }
+}
+
 /// Time in which a node sends a heartbeat to each of its peers.
 pub fn heartbeat_round(peers: usize) -> Duration {
-    let intervals = u32::try_from(peers.div_ceil(MAX_HEARTBEATS_PER_INTERVAL));
+    let intervals = u32::try_from(peers.div_ceil(heartbeats_per_interval(peers)));
     HEARTBEAT_INTERVAL * intervals.unwrap_or(u32::MAX)
 }
 
@@ -41,6 +61,8 @@
     address: Address,
     incarnation: Incarnation,
     last_heartbeat: Instant,
+    /// Time between the last two heartbeats.
+    last_gap: Option<Duration>,
     status: LeaderStatus,
     candidate: Option<RelayCandidate>,
 }
@@ -60,6 +82,7 @@
     peers: BTreeMap<NodeId, Peer>,
     registered: BTreeMap<Address, Instant>,
     last_addressed: Option<Address>,
+    last_leader_addressed: Option<Address>,
 }
 
 /// Peers to which heartbeats are sent in one interval.
@@ -87,9 +110,15 @@
         if self.peers.get(node).is_some_and(|p| p.incarnation > incarnation) {
             return;
         }
-        let candidate = self.peers.get(node).and_then(|p| p.candidate.clone());
-        let peer =
-            Peer { address: address.clone(), incarnation, last_heartbeat: now, status, candidate };
+        let previous = self.peers.get(node);
+        let peer = Peer {
+            address: address.clone(),
+            incarnation,
+            last_heartbeat: now,
+            last_gap: previous.map(|p| now.saturating_duration_since(p.last_heartbeat)),
+            status,
+            candidate: previous.and_then(|p| p.candidate.clone()),
+        };
         self.peers.insert(node.clone(), peer);
     }
 
@@ -127,6 +156,7 @@
     /// Next batch of peers to send heartbeats to; successive batches address all peers in turn.
     pub fn next_heartbeat_batch(&mut self, own: &Address) -> HeartbeatBatch {
         let mut addresses = self.heartbeat_addresses(own);
+        let batch_size = heartbeats_per_interval(addresses.len());
         let next = match &self.last_addressed {
             Some(last) => addresses.partition_point(|a| a <= last),
             None => 0,
@@ -135,18 +165,40 @@
         if !starts_round {
             addresses.drain(..next);
         }
-        addresses.truncate(MAX_HEARTBEATS_PER_INTERVAL);
+        addresses.truncate(batch_size);
         self.last_addressed = addresses.last().cloned();
         HeartbeatBatch { addresses, starts_round }
     }
 
+    /// Peers that may lead, to which a node that may lead too sends further heartbeats, in turn.
+    ///
+    /// In a large cluster, the death of the leader would otherwise be noticed late.
+    pub fn next_leader_batch(&mut self, now: Instant) -> Vec<Address> {
+        if self.registered.len() <= LARGE_CLUSTER {
+            return Vec::new();
+        }
+        let may_lead = |p: &&Peer| p.status.eligible && self.is_alive(now, p);
+        let mut addresses: Vec<Address> =
+            self.peers.values().filter(may_lead).map(|p| p.address.clone()).collect();
+        addresses.sort_unstable();
+        if let Some(last) = &self.last_leader_addressed {
+            let next = addresses.partition_point(|a| a <= last);
+            addresses.rotate_left(next);
+        }
+        addresses.truncate(LEADER_HEARTBEATS);
+        self.last_leader_addressed = addresses.last().cloned();
+        addresses
+    }
+
     /// Number of nodes that are alive, including this one.
     pub fn live_count(&self, now: Instant) -> usize {
         1 + self.peers.values().filter(|p| self.is_alive(now, p)).count()
     }
 
     fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
-        now < peer.last_heartbeat + self.heartbeat_timeout()
+        let is_frequent = peer.last_gap.is_some_and(|gap| gap <= FREQUENT_HEARTBEAT);
+        let timeout = if is_frequent { MIN_HEARTBEAT_TIMEOUT } else { self.heartbeat_timeout() };
+        now < peer.last_heartbeat + timeout
     }
 
     /// Time without a heartbeat after which a node counts as dead.
--- a/crates/serving/tests/heartbeats.rs
+++ b/crates/serving/tests/heartbeats.rs
@@ -139,3 +139,60 @@
     }
     assert_eq!(loads.in_flight(key) as usize, nodes - 1);
 }
+
+/// Time within which the death of the leader has to be noticed by those that may follow it.
+const LEADER_DETECTION: Duration = Duration::from_millis(1_500);
+
+/// In a large cluster, the nodes that may lead hear from each other often, and from the others
+/// seldom.
+#[rstest]
+fn death_of_the_leader_of_a_large_cluster_is_noticed_in_time() {
+    const NODES: usize = 195;
+    const MAY_LEAD: usize = 10;
+    let all = addresses(NODES);
+    let start = Instant::now();
+    let eligible = |at: usize| LeaderStatus { eligible: at < MAY_LEAD, is_leader: at == 0 };
+    let mut tables: Vec<PeerTable> = (0..MAY_LEAD)
+        .map(|_| {
+            let mut table = PeerTable::default();
+            table.set_registered(start, all.clone());
+            for (at, address) in all.iter().enumerate() {
+                table.record_heartbeat(start, &format!("n{at}"), address, 1, eligible(at));
+            }
+            table
+        })
+        .collect();
+    let mut now = start;
+    let died_at = start + Duration::from_secs(5);
+    while now < died_at + LEADER_DETECTION {
+        now += Duration::from_millis(50);
+        for at in 0..MAY_LEAD {
+            if at == 0 && now >= died_at {
+                continue;
+            }
+            let mut to = tables[at].next_heartbeat_batch(&all[at]).addresses;
+            to.extend(tables[at].next_leader_batch(now));
+            for other in (0..MAY_LEAD).filter(|other| to.contains(&all[*other]) && *other != at) {
+                tables[other].record_heartbeat(now, &format!("n{at}"), &all[at], 1, eligible(at));
+            }
+        }
+        let own = LeaderStatus { eligible: true, is_leader: false };
+        let successors = (1..MAY_LEAD).filter(|at| tables[*at].should_lead(now, &all[*at], own));
+        if now < died_at {
+            assert_eq!(successors.count(), 0, "after {:?}", now - start);
+        }
+    }
+    let own = LeaderStatus { eligible: true, is_leader: false };
+    let successors = (1..MAY_LEAD).filter(|at| tables[*at].should_lead(now, &all[*at], own));
+    assert_eq!(successors.count(), 1);
+}
+
+#[rstest]
+fn large_cluster_sends_half_of_the_heartbeats() {
+    let sent = |nodes| {
+        let mut table = PeerTable::default();
+        table.set_registered(Instant::now(), addresses(nodes));
+        table.next_heartbeat_batch(&OWN.to_owned()).addresses.len()
+    };
+    assert_eq!((sent(9), sent(85), sent(195), sent(380)), (8, 8, 4, 4));
+}
