--- a/crates/serving/src/load.rs
+++ b/crates/serving/src/load/mod.rs
@@ -1,11 +1,14 @@
 //! Requests in flight at each upstream, over all nodes, and the choice between upstreams.
 
+mod peers;
+mod stalls;
+
 use {
     crate::{
-        directory::{Upstream, upstream_key},
+        directory::Upstream,
         flap_damping::FlapDamping,
         interfaces::StatedLoad,
-        membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
+        membership::heartbeat_round,
         spread::{SendRate, choose_below_level},
     },
     rand::Rng,
@@ -15,7 +18,7 @@
         time::{Duration, Instant},
     },
     turmerictack_model::ids::{GroupId, InstanceId, NodeId},
-    turmerictack_protocol::heartbeat::{HeartbeatLoad, UpstreamKey},
+    turmerictack_protocol::heartbeat::UpstreamKey,
 };
 
 /// Requests sent to an upstream beyond its slots; kept small because requests in the queues of
@@ -25,12 +28,6 @@
 /// Time without any event after which an upstream with requests in flight counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Minimum age at which the load reported by a peer is discarded.
-const MIN_PEER_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Time after its last event during which an upstream counts as making progress.
-const PROGRESS_WINDOW: Duration = Duration::from_secs(1);
-
 /// Time without new requests for an upstream that rejected one for lack of capacity.
 pub const OVERLOAD_COOLDOWN: Duration = Duration::from_millis(100);
 
@@ -43,16 +40,6 @@
 /// Longest pause that an upstream may ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
-/// Time for which an instance that was reported stalled stays suspected.
-const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Time for which a suspicion that was reported by a peer is passed on.
-const SUSPICION_NEWS_TIME: Duration = Duration::from_millis(200);
-
-/// Time for which a node remembers that a group has stalled; about the time after which the head of
-/// the group notices that a member is missing.
-const STALL_MEMORY: Duration = Duration::from_secs(4);
-
 /// Advantage of an upstream in the same data centre, in requests in flight.
 const LOCAL_DATA_CENTRE_BONUS: f64 = 0.5;
 
@@ -293,54 +280,6 @@
         self.by_key.get(&upstream.key).is_none_or(|l| l.failure_rate < MAX_FAILURE_RATE)
     }
 
-    /// Whether this node has requests at the upstream, and neither it nor a peer has received an
-    /// event from the upstream within the stall timeout.
-    pub fn is_stalled(&self, now: Instant, key: UpstreamKey) -> bool {
-        let Some(load) = self.by_key.get(&key) else { return false };
-        let last_activity =
-            load.last_progress.map_or(load.busy_since, |at| at.max(load.busy_since));
-        let peer_last_activity = load.peer_last_progress.unwrap_or(last_activity);
-        load.local_in_flight > 0
-            && now >= last_activity + STALL_TIMEOUT
-            && now >= peer_last_activity + STALL_TIMEOUT
-    }
-
-    /// Whether this node has lately moved a request away from the upstream because of a stall, and
-    /// neither it nor a peer has received an event from there since.
-    fn has_stalled(&self, now: Instant, load: &UpstreamLoad) -> bool {
-        let last_progress = load.last_progress.max(load.peer_last_progress);
-        let is_recent = |at: &Instant| now < *at + STALL_MEMORY;
-        load.stalled_at.filter(is_recent).is_some_and(|at| Some(at) > last_progress)
-    }
-
-    /// Whether this node or a peer has lately found the upstream stalled, and no event from there is
-    /// known since.
-    ///
-    /// A group that stands still has few requests in flight, since they are moved away. Without this
-    /// it would attract new ones, at every node.
-    fn is_suspected(&self, now: Instant, upstream: &Upstream) -> bool {
-        let Some(load) = self.by_key.get(&upstream.key) else { return false };
-        if load.group.is_some() && load.group != upstream.group {
-            return false;
-        }
-        let is_recent = |at: &&Instant| now < **at + STALL_MEMORY;
-        let suspected_at = self.suspects.get(&upstream.instance).filter(is_recent).copied();
-        let last_progress = load.last_progress.max(load.peer_last_progress);
-        self.has_stalled(now, load) || (suspected_at.is_some() && suspected_at > last_progress)
-    }
-
-    /// Time at which this node or a peer last received an event from an upstream.
-    fn last_progress(&self, key: UpstreamKey) -> Option<Instant> {
-        let load = self.by_key.get(&key)?;
-        load.last_progress.max(load.peer_last_progress)
-    }
-
-    /// Whether this node or a peer has received an event from the upstream lately.
-    pub fn has_recent_progress(&self, now: Instant, key: UpstreamKey) -> bool {
-        let Some(load) = self.by_key.get(&key) else { return false };
-        load.last_progress.max(load.peer_last_progress).is_some_and(|at| now < at + PROGRESS_WINDOW)
-    }
-
     /// Requests in flight at an upstream, summed over all nodes.
     pub fn in_flight(&self, key: UpstreamKey) -> u32 {
         self.by_key.get(&key).map_or(0, |l| l.local_in_flight + l.peer_in_flight)
@@ -421,112 +360,6 @@
         }
     }
 
-    /// Replaces the load last reported by a peer.
-    pub fn merge_peer_loads(&mut self, now: Instant, node: &NodeId, loads: &[HeartbeatLoad]) {
-        self.expire_peer_loads(now);
-        let in_flight: BTreeMap<UpstreamKey, u32> =
-            loads.iter().map(|l| (l.upstream, u32::from(l.in_flight))).collect();
-        for (key, count) in &in_flight {
-            self.entry(now, *key).peer_in_flight += count;
-        }
-        let previous =
-            self.peer_loads.insert(node.clone(), PeerLoads { received_at: now, in_flight });
-        if let Some(previous) = previous {
-            self.subtract_peer_loads(&previous);
-        }
-        for load in loads.iter().filter(|l| l.progressing) {
-            self.entry(now, load.upstream).peer_last_progress = Some(now);
-        }
-    }
-
-    /// Drops the loads of peers that have not reported for a while.
-    fn expire_peer_loads(&mut self, now: Instant) {
-        let round = heartbeat_round(self.peer_loads.len());
-        let timeout = MIN_PEER_LOAD_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS);
-        let expired: Vec<NodeId> = self
-            .peer_loads
-            .iter()
-            .filter(|(_, p)| now >= p.received_at + timeout)
-            .map(|(node, _)| node.clone())
-            .collect();
-        for node in expired {
-            if let Some(loads) = self.peer_loads.remove(&node) {
-                self.subtract_peer_loads(&loads);
-            }
-        }
-    }
-
-    fn subtract_peer_loads(&mut self, loads: &PeerLoads) {
-        for (key, count) in &loads.in_flight {
-            if let Some(load) = self.by_key.get_mut(key) {
-                load.peer_in_flight = load.peer_in_flight.saturating_sub(*count);
-            }
-        }
-    }
-
-    /// Remembers the local load as reported to all peers in the round of heartbeats that begins.
-    pub fn mark_reported(&mut self) {
-        for load in self.by_key.values_mut() {
-            load.reported = [load.reported[1], load.local_in_flight];
-        }
-    }
-
-    /// Local load of upstreams that are busy or made progress lately.
-    pub fn local_loads(&self, now: Instant) -> Vec<HeartbeatLoad> {
-        let to_heartbeat_load = |(key, load): (&UpstreamKey, &UpstreamLoad)| {
-            let progressing = load.last_progress.is_some_and(|at| now < at + STALL_TIMEOUT);
-            (load.local_in_flight > 0 || progressing).then(|| HeartbeatLoad {
-                upstream: *key,
-                in_flight: u16::try_from(load.local_in_flight).unwrap_or(u16::MAX),
-                progressing,
-                stalled: self.is_stalled(now, *key),
-            })
-        };
-        self.by_key.iter().filter_map(to_heartbeat_load).collect()
-    }
-
-    /// Upstreams that are stalled as seen by this node, or were when it last had requests there.
-    pub fn stalled_upstreams(&self, now: Instant) -> Vec<InstanceId> {
-        let is_stalled =
-            |key: UpstreamKey, load| self.is_stalled(now, key) || self.has_stalled(now, load);
-        let stalled = self.by_key.iter().filter(|(key, load)| is_stalled(**key, load));
-        stalled.filter_map(|(key, _)| self.instances.get(key).cloned()).collect()
-    }
-
-    /// Instances to report to peers: those that are stalled here, and those that others have just
-    /// reported, so that all nodes learn of them within a few intervals.
-    pub fn stalls_to_report(&self, now: Instant) -> Vec<InstanceId> {
-        let mut stalls = self.stalled_upstreams(now);
-        let news = self.suspects.iter().filter(|(_, at)| now < **at + SUSPICION_NEWS_TIME);
-        stalls.extend(news.map(|(id, _)| id.clone()));
-        stalls
-    }
-
-    /// Marks instances as suspected, whether detected here or reported by a peer; one that is
-    /// suspected already stays so for the rest of its time.
-    pub fn record_suspects(
-        &mut self,
-        now: Instant,
-        instances: impl IntoIterator<Item = InstanceId>,
-    ) {
-        self.suspects.retain(|_, at| now < *at + STALL_MEMORY);
-        for id in instances {
-            let last_progress = self.last_progress(upstream_key(&id));
-            let suspected_at = self.suspects.entry(id).or_insert(now);
-            if Some(*suspected_at) <= last_progress {
-                *suspected_at = now;
-            }
-        }
-    }
-
-    /// Instances that are stalled here or were marked as suspected lately.
-    pub fn suspects(&self, now: Instant) -> Vec<InstanceId> {
-        let mut suspects = self.stalled_upstreams(now);
-        let recent = self.suspects.iter().filter(|(_, at)| now < **at + SUSPICION_TIMEOUT);
-        suspects.extend(recent.map(|(id, _)| id.clone()));
-        suspects
-    }
-
     /// Drops upstreams that are no longer listed and have no requests in flight.
     pub fn retain(&mut self, is_listed: &dyn Fn(UpstreamKey) -> bool) {
         let is_in_use = |load: &UpstreamLoad| load.local_in_flight + load.peer_in_flight > 0;
--- /dev/null
+++ b/crates/serving/src/load/peers.rs
@@ -0,0 +1,81 @@
+//! Loads that peers report, and the load that this node reports to them.
+
+use {
+    super::{LoadTracker, PeerLoads, STALL_TIMEOUT, UpstreamLoad},
+    crate::membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    turmerictack_model::ids::NodeId,
+    turmerictack_protocol::heartbeat::{HeartbeatLoad, UpstreamKey},
+};
+
+/// Minimum age at which the load reported by a peer is discarded.
+const MIN_PEER_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+impl LoadTracker {
+    /// Replaces the load last reported by a peer.
+    pub fn merge_peer_loads(&mut self, now: Instant, node: &NodeId, loads: &[HeartbeatLoad]) {
+        self.expire_peer_loads(now);
+        let in_flight: BTreeMap<UpstreamKey, u32> =
+            loads.iter().map(|l| (l.upstream, u32::from(l.in_flight))).collect();
+        for (key, count) in &in_flight {
+            self.entry(now, *key).peer_in_flight += count;
+        }
+        let previous =
+            self.peer_loads.insert(node.clone(), PeerLoads { received_at: now, in_flight });
+        if let Some(previous) = previous {
+            self.subtract_peer_loads(&previous);
+        }
+        for load in loads.iter().filter(|l| l.progressing) {
+            self.entry(now, load.upstream).peer_last_progress = Some(now);
+        }
+    }
+
+    /// Drops the loads of peers that have not reported for a while.
+    fn expire_peer_loads(&mut self, now: Instant) {
+        let round = heartbeat_round(self.peer_loads.len());
+        let timeout = MIN_PEER_LOAD_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS);
+        let expired: Vec<NodeId> = self
+            .peer_loads
+            .iter()
+            .filter(|(_, p)| now >= p.received_at + timeout)
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in expired {
+            if let Some(loads) = self.peer_loads.remove(&node) {
+                self.subtract_peer_loads(&loads);
+            }
+        }
+    }
+
+    fn subtract_peer_loads(&mut self, loads: &PeerLoads) {
+        for (key, count) in &loads.in_flight {
+            if let Some(load) = self.by_key.get_mut(key) {
+                load.peer_in_flight = load.peer_in_flight.saturating_sub(*count);
+            }
+        }
+    }
+
+    /// Remembers the local load as reported to all peers in the round of heartbeats that begins.
+    pub fn mark_reported(&mut self) {
+        for load in self.by_key.values_mut() {
+            load.reported = [load.reported[1], load.local_in_flight];
+        }
+    }
+
+    /// Local load of upstreams that are busy or made progress lately.
+    pub fn local_loads(&self, now: Instant) -> Vec<HeartbeatLoad> {
+        let to_heartbeat_load = |(key, load): (&UpstreamKey, &UpstreamLoad)| {
+            let progressing = load.last_progress.is_some_and(|at| now < at + STALL_TIMEOUT);
+            (load.local_in_flight > 0 || progressing).then(|| HeartbeatLoad {
+                upstream: *key,
+                in_flight: u16::try_from(load.local_in_flight).unwrap_or(u16::MAX),
+                progressing,
+                stalled: self.is_stalled(now, *key),
+            })
+        };
+        self.by_key.iter().filter_map(to_heartbeat_load).collect()
+    }
+}
--- a/crates/serving/tests/relay.rs
+++ b/crates/serving/tests/relay.rs
@@ -159,7 +159,7 @@
     let candidate = |at: usize| RelayCandidate {
         address: format!("10.{}.0.{at}:7340", at % data_centres),
         data_centre: format!("dc-{}", at % data_centres),
-        capacity: if at % strong_every == 0 { 500 } else { 120 },
+        capacity: if at.is_multiple_of(strong_every) { 500 } else { 120 },
     };
     (0..nodes).map(candidate).collect()
 }
@@ -371,7 +371,7 @@
                     }
                 }
             }
-            if now_ms % DETECTION_MS == 0 {
+            if now_ms.is_multiple_of(DETECTION_MS) {
                 let live: Vec<RelayCandidate> = (0..self.nodes)
                     .filter(|n| now_ms >= nodes[*n].dead_until_ms)
                     .map(|n| candidates[n].clone())
