Choose groups once all instances have arrived

Change: before the first request, no group or load is planned until no instance has arrived for 0.6 s, for 3 s at most. Evidence: groups_are_chosen_when_all_instances_have_arrived.

--- a/crates/groups/src/formation/loads.rs
+++ b/crates/groups/src/formation/loads.rs
@@ -78,6 +78,11 @@
         self.failed.clear();
     }
 
+    /// Whether there have been requests from callers.
+    pub(super) fn has_traffic(&self) -> bool {
+        self.has_traffic
+    }
+
     /// Returns the model that an instance is loading.
     pub(super) fn loading_model(&self, id: &str) -> Option<&ModelId> {
         self.running.get(id).map(|r| &r.model)
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -17,7 +17,7 @@
     self::{
         loads::LoadTracker,
         retirement::Retirement,
-        selection::{DomainSize, KnownPartition, ServiceDomain},
+        selection::{Arrival, DomainSize, KnownPartition, ServiceDomain},
     },
     crate::plan::{Plan, PlannedGroup},
     std::{
@@ -211,6 +211,7 @@
     loads: LoadTracker,
     domain_sizes: BTreeMap<ServiceDomain, DomainSize>,
     partitions: BTreeMap<ServiceId, KnownPartition>,
+    arrival: Option<Arrival>,
 }
 
 impl GroupPlanner {
@@ -227,6 +228,7 @@
             loads: LoadTracker::new(limits),
             domain_sizes: BTreeMap::new(),
             partitions: BTreeMap::new(),
+            arrival: None,
         }
     }
 
--- a/crates/groups/src/formation/selection.rs
+++ b/crates/groups/src/formation/selection.rs
@@ -24,6 +24,13 @@
 /// change with each loss.
 const SIZE_RETENTION: Duration = Duration::from_secs(15);
 
+/// Time without a new instance after which the instances count as complete, before the first
+/// request.
+const SETTLING_TIME: Duration = Duration::from_millis(600);
+
+/// Maximum time to wait for that.
+const MAX_SETTLING_TIME: Duration = Duration::from_secs(3);
+
 /// State of an instance for a model, from the shortest to the longest time to join a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Warmth {
@@ -56,6 +63,20 @@
     wanted: BTreeMap<ServiceDomain, Partition>,
 }
 
+/// Arrival of the instances when the system starts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival {
+    first_at: Instant,
+    last_at: Instant,
+}
+
+impl Arrival {
+    /// Whether more instances are expected soon.
+    fn is_under_way(&self, now: Instant) -> bool {
+        now < self.last_at + SETTLING_TIME && now < self.first_at + MAX_SETTLING_TIME
+    }
+}
+
 /// Groups that a domain should have and those that it has.
 struct DomainTarget {
     wanted: Partition,
@@ -86,6 +107,12 @@
         actions: &mut Actions,
     ) {
         self.update_domain_sizes(now, view);
+        // Groups that are formed while instances are still arriving stay, although others would suit
+        // the whole domains better.
+        let is_arriving = self.arrival.is_some_and(|arrival| arrival.is_under_way(now));
+        if is_arriving && !self.loads.has_traffic() {
+            return;
+        }
         let mut free = self.free_instances(now, view, plan, actions);
         for (service, profiles) in models {
             let mut targets = self.domain_targets(service, profiles, view, plan, &free);
@@ -117,6 +144,10 @@
         for (domain, instances) in listed {
             let size =
                 self.domain_sizes.entry(domain).or_insert(DomainSize { instances, seen_at: now });
+            if instances > size.instances || size.seen_at == now {
+                let first_at = self.arrival.map_or(now, |arrival| arrival.first_at);
+                self.arrival = Some(Arrival { first_at, last_at: now });
+            }
             if instances >= size.instances || now >= size.seen_at + SIZE_RETENTION {
                 *size = DomainSize { instances, seen_at: now };
             }
--- a/crates/groups/tests/spares.rs
+++ b/crates/groups/tests/spares.rs
@@ -33,6 +33,7 @@
     departures: Departures,
     plan: Plan,
     models: ModelsByService,
+    has_traffic: bool,
 }
 
 impl Leader {
@@ -47,6 +48,7 @@
             departures: Departures::default(),
             plan: Plan::default(),
             models: BTreeMap::from([("models".to_owned(), BTreeMap::from(models))]),
+            has_traffic: true,
         }
     }
 
@@ -63,7 +65,7 @@
             let view = ClusterView {
                 engines: listed,
                 incomplete_since: self.departures.by_group(),
-                has_traffic: true,
+                has_traffic: self.has_traffic,
                 ..ClusterView::default()
             };
             let actions = self.planner.next_actions(now, &self.models, &view, &self.plan);
@@ -105,3 +107,24 @@
     leader.run_for(REFORMATION_TIME);
     assert_eq!(leader.open_groups("large").len(), 2, "{:?}", leader.plan.groups);
 }
+
+/// Instances that arrive in each step at the start of a system.
+const ARRIVALS_PER_STEP: usize = 4;
+
+/// The groups are those that suit the whole domains, in whatever order the instances arrive.
+#[rstest]
+fn groups_are_chosen_when_all_instances_have_arrived() {
+    const DOMAINS: usize = 6;
+    const PER_DOMAIN: usize = 10;
+    let mut leader = Leader::new(SimulatedCluster::new(0, 0), 4);
+    leader.has_traffic = false;
+    for at in 0..DOMAINS * PER_DOMAIN {
+        let domain = format!("d{}", at % DOMAINS);
+        leader.cluster.add(&format!("i{at}"), &domain);
+        if at.is_multiple_of(ARRIVALS_PER_STEP) {
+            leader.run_for(STEP);
+        }
+    }
+    leader.run_for(FORMATION_TIME);
+    assert_eq!((leader.open_groups("large").len(), leader.open_groups("small").len()), (6, 15));
+}
