Act upon peers' stalls only where they can be refuted in time

Cause, by reading, not yet traced: a node that waits 450 ms for a first event and has not heard of progress elsewhere reports a stall; all nodes learn of it within 0.2 s, but of progress there only in the next round of heartbeats, 2.4 s at this size, so one slow first event keeps all of them away from a sound group. Change: stalls that peers report count, and are passed on, only where a round of heartbeats takes at most 1 s; a node's own memory of a stall stays. Evidence: stall_that_cannot_be_refuted_in_time_is_not_acted_upon.

--- a/crates/serving/src/load/stalls.rs
+++ b/crates/serving/src/load/stalls.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{LoadTracker, STALL_TIMEOUT, UpstreamLoad},
-    crate::directory::{Upstream, upstream_key},
+    crate::{
+        directory::{Upstream, upstream_key},
+        membership::heartbeat_round,
+    },
     std::time::{Duration, Instant},
     turmerictack_model::ids::InstanceId,
     turmerictack_protocol::heartbeat::UpstreamKey,
@@ -17,6 +20,12 @@
 /// Time for which a suspicion that was reported by a peer is passed on.
 const SUSPICION_NEWS_TIME: Duration = Duration::from_millis(200);
 
+/// Time of a round of heartbeats up to which the stalls that peers report are acted upon.
+///
+/// A stall is refuted by the next progress that any node reports. Where that takes longer, one slow
+/// first event would keep all nodes away from a sound group.
+const MAX_REFUTATION_TIME: Duration = Duration::from_secs(1);
+
 /// Time for which a node remembers that a group has stalled; about the time after which the head of
 /// the group notices that a member is missing.
 const STALL_MEMORY: Duration = Duration::from_secs(4);
@@ -52,10 +61,18 @@
         if load.group.is_some() && load.group != upstream.group {
             return false;
         }
+        if self.has_stalled(now, load) {
+            return true;
+        }
         let is_recent = |at: &&Instant| now < **at + STALL_MEMORY;
         let suspected_at = self.suspects.get(&upstream.instance).filter(is_recent).copied();
         let last_progress = load.last_progress.max(load.peer_last_progress);
-        self.has_stalled(now, load) || (suspected_at.is_some() && suspected_at > last_progress)
+        self.are_refutations_recent() && suspected_at.is_some() && suspected_at > last_progress
+    }
+
+    /// Whether progress at any node becomes known soon enough to act upon stalls that peers report.
+    fn are_refutations_recent(&self) -> bool {
+        heartbeat_round(self.peer_loads.len()) <= MAX_REFUTATION_TIME
     }
 
     /// Time at which this node or a peer last received an event from an upstream.
@@ -82,6 +99,9 @@
     /// reported, so that all nodes learn of them within a few intervals.
     pub fn stalls_to_report(&self, now: Instant) -> Vec<InstanceId> {
         let mut stalls = self.stalled_upstreams(now);
+        if !self.are_refutations_recent() {
+            return stalls;
+        }
         let news = self.suspects.iter().filter(|(_, at)| now < **at + SUSPICION_NEWS_TIME);
         stalls.extend(news.map(|(id, _)| id.clone()));
         stalls
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -427,3 +427,24 @@
     }
     assert_eq!(share_of_first(&loads, now, &upstreams), share);
 }
+
+/// A stall that a peer reports keeps this node away from an upstream only where progress elsewhere
+/// becomes known soon.
+#[rstest]
+#[case::heard_often(84, false)]
+#[case::heard_seldom(194, true)]
+fn stall_that_cannot_be_refuted_in_time_is_not_acted_upon(
+    #[case] peers: usize,
+    #[case] is_used: bool,
+) {
+    let upstreams =
+        ["u", "v"].map(|id| Arc::new(Upstream { slots: MANY_SLOTS, ..(*upstream(id)).clone() }));
+    let (now, mut loads) = (Instant::now(), LoadTracker::default());
+    for peer in 0..peers {
+        loads.merge_peer_loads(now, &format!("n{peer}"), &[]);
+    }
+    loads.acquire(now, &upstreams[0], 0);
+    loads.release(now, upstreams[0].key, UpstreamOutcome::Success);
+    loads.record_suspects(now, ["u".to_owned()]);
+    assert_eq!(share_of_first(&loads, now, &upstreams) > 0.0, is_used);
+}
