Say once when an upstream last progressed and who may lead

The latest progress of an upstream was computed in four places, the condition to lead (a fresh view of the node's own) in two, and ConfigState::confirmed_at had no caller.

--- a/crates/serving/src/config_state.rs
+++ b/crates/serving/src/config_state.rs
@@ -78,11 +78,6 @@
         }
     }
 
-    /// Start of the read that last confirmed the configuration.
-    pub fn confirmed_at(&self) -> Option<Instant> {
-        self.confirmed_at
-    }
-
     /// Whether requests with an API key may be sent now.
     pub fn key_freshness(&self, now: Instant) -> KeyFreshness {
         let Some(bound) = self.revocation_bound else { return KeyFreshness::Fresh };
--- a/crates/serving/src/group_controller.rs
+++ b/crates/serving/src/group_controller.rs
@@ -139,9 +139,8 @@
 
     fn should_lead(&self, was_leader: bool) -> bool {
         let now = self.clock.now();
-        let eligible = self.tables.has_fresh_view(now)
-            && self.tables.watches_store()
-            && !self.tables.lifecycle.lock().draining;
+        let eligible =
+            self.tables.has_own_fresh_view(now) && !self.tables.lifecycle.lock().draining;
         let own = LeaderStatus { eligible, is_leader: was_leader };
         self.tables.peers.lock().should_lead(now, &self.identity.address, own)
     }
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -131,12 +131,11 @@
             let balancer = self.tables.balancer.lock();
             (balancer.loads.local_loads(now), balancer.loads.stalls_to_report(now))
         };
-        let has_fresh_view = self.tables.has_fresh_view(now);
+        let has_fresh_view = self.tables.has_own_fresh_view(now);
         let (leaving, is_leader) = {
             let lifecycle = self.tables.lifecycle.lock();
             (lifecycle.draining, lifecycle.is_leader)
         };
-        let has_fresh_view = has_fresh_view && self.tables.watches_store();
         Heartbeat {
             version: HEARTBEAT_VERSION,
             node: self.identity.node.clone(),
--- a/crates/serving/src/load/stalls.rs
+++ b/crates/serving/src/load/stalls.rs
@@ -30,6 +30,13 @@
 /// the group notices that a member is missing.
 const STALL_MEMORY: Duration = Duration::from_secs(4);
 
+impl UpstreamLoad {
+    /// Time at which this node or a peer last received an event from the upstream.
+    fn latest_progress(&self) -> Option<Instant> {
+        self.last_progress.max(self.peer_last_progress)
+    }
+}
+
 impl LoadTracker {
     /// Whether this node has requests at the upstream, and neither it nor a peer has received an
     /// event from the upstream within the stall timeout.
@@ -46,9 +53,8 @@
     /// Whether this node has lately moved a request away from the upstream because of a stall, and
     /// neither it nor a peer has received an event from there since.
     fn has_stalled(&self, now: Instant, load: &UpstreamLoad) -> bool {
-        let last_progress = load.last_progress.max(load.peer_last_progress);
         let is_recent = |at: &Instant| now < *at + STALL_MEMORY;
-        load.stalled_at.filter(is_recent).is_some_and(|at| Some(at) > last_progress)
+        load.stalled_at.filter(is_recent).is_some_and(|at| Some(at) > load.latest_progress())
     }
 
     /// Whether this node or a peer has lately found the upstream stalled, and no event from there is
@@ -66,8 +72,8 @@
         }
         let is_recent = |at: &&Instant| now < **at + STALL_MEMORY;
         let suspected_at = self.suspects.get(&upstream.instance).filter(is_recent).copied();
-        let last_progress = load.last_progress.max(load.peer_last_progress);
-        self.are_refutations_recent() && suspected_at.is_some() && suspected_at > last_progress
+        self.are_refutations_recent()
+            && suspected_at.is_some_and(|at| Some(at) > load.latest_progress())
     }
 
     /// Whether progress at any node becomes known soon enough to act upon stalls that peers report.
@@ -75,16 +81,10 @@
         heartbeat_round(self.peer_loads.len()) <= MAX_REFUTATION_TIME
     }
 
-    /// Time at which this node or a peer last received an event from an upstream.
-    fn last_progress(&self, key: UpstreamKey) -> Option<Instant> {
-        let load = self.by_key.get(&key)?;
-        load.last_progress.max(load.peer_last_progress)
-    }
-
     /// Whether this node or a peer has received an event from the upstream lately.
     pub fn has_recent_progress(&self, now: Instant, key: UpstreamKey) -> bool {
         let Some(load) = self.by_key.get(&key) else { return false };
-        load.last_progress.max(load.peer_last_progress).is_some_and(|at| now < at + PROGRESS_WINDOW)
+        load.latest_progress().is_some_and(|at| now < at + PROGRESS_WINDOW)
     }
 
     /// Upstreams that are stalled as seen by this node, or were when it last had requests there.
@@ -116,7 +116,8 @@
     ) {
         self.suspects.retain(|_, at| now < *at + STALL_MEMORY);
         for id in instances {
-            let last_progress = self.last_progress(upstream_key(&id));
+            let load = self.by_key.get(&upstream_key(&id));
+            let last_progress = load.and_then(UpstreamLoad::latest_progress);
             let suspected_at = self.suspects.entry(id).or_insert(now);
             if Some(*suspected_at) <= last_progress {
                 *suspected_at = now;
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -184,6 +184,11 @@
         !self.lifecycle.lock().follows_relays
     }
 
+    /// Whether the view of the instances is recent and this node's own, as leading requires.
+    pub fn has_own_fresh_view(&self, now: Instant) -> bool {
+        self.has_fresh_view(now) && self.watches_store()
+    }
+
     /// Applies what another node has observed about prompts that crashed engines.
     pub fn apply_prompt_updates(&self, now: Instant, updates: PromptUpdates) {
         self.update_prompt_quarantine(|q| {
