--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -160,6 +160,11 @@
         })
     }
 
+    /// Id of a new client attempt.
+    pub fn next_id(&self) -> String {
+        format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Starts users that each send a request, wait for its answer, pause, and start again.
     pub fn users(
         self: &Arc<Self>,
@@ -247,7 +252,7 @@
             return Err(io::Error::other("no link"));
         };
         let node = *node;
-        let id = format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed));
+        let id = self.next_id();
         // Each booking and note is another one; the users of a zone look at the same record.
         let (method, target, body) = match kind {
             Kind::Booking => ("POST", format!("/book/{user}/x"), format!("crew {id} for the ford")),
--- a/review/standin/loss.rs
+++ b/review/standin/loss.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     client::Kind,
-    scene::{Engines, Scene, ZONES, is_starved, number},
+    scene::{Engines, NO_LIMIT, Scene, ZONES, is_starved, number},
 };
 use std::{
     path::Path,
@@ -10,8 +10,13 @@
     time::{Duration, Instant},
 };
 
-const ENGINES: Engines =
-    Engines { count: 2, group_size: 2, stream: Duration::from_millis(1_500), memory_mb: 260 };
+const ENGINES: Engines = Engines {
+    count: 2,
+    group_size: 2,
+    stream: Duration::from_millis(1_500),
+    memory_mb: 260,
+    link_mbps: NO_LIMIT,
+};
 
 pub fn run(root: &Path, folder: &Path, trouble: bool) -> Option<bool> {
     let mut scene = Scene::start(root, folder, 3, ENGINES)?;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,12 +3,14 @@
 //! Usage: `standin CASE REPOSITORY FOLDER`, where FOLDER gets the record. `TROUBLE=0` leaves out the
 //! disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod behind;
 mod client;
 mod http;
 mod json;
 mod lookup;
 mod loss;
 mod node;
+mod proxy;
 mod record;
 mod scene;
 mod store;
@@ -37,6 +39,7 @@
     let verdict = match case.as_str() {
         "storm" => storm::run(&root, &folder, trouble),
         "lookup" => lookup::run(&root, &folder, trouble),
+        "behind" => behind::run(&root, &folder, trouble),
         "loss" => loss::run(&root, &folder, trouble),
         _ => None,
     };
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -1,6 +1,6 @@
 //! The project's nodes, started with the command of the deploy file.
 
-use crate::{http::Connection, store::Store};
+use crate::http::Connection;
 use std::{
     fs,
     net::{SocketAddr, TcpListener},
@@ -24,6 +24,20 @@
     log: PathBuf,
 }
 
+/// Size of the machine of a node.
+#[derive(Clone, Copy)]
+pub struct Machine {
+    pub memory_mb: u64,
+    pub link_mbps: f64,
+}
+
+impl Machine {
+    /// Bounds on changes and the stable window: those of the site with small links, or the other.
+    pub fn bounds_ms(&self) -> (u64, u64) {
+        if self.link_mbps < 1_000.0 { (3_000, 4_000) } else { (2_000, 3_000) }
+    }
+}
+
 pub struct Places<'a> {
     /// The repository, and a folder for settings files and logs.
     pub root: &'a Path,
@@ -52,10 +66,10 @@
 impl Node {
     pub fn spawn(
         places: &Places,
-        store: &Store,
+        store_address: &str,
         index: usize,
         zones: &[&str],
-        memory_mb: u64,
+        machine: &Machine,
     ) -> Self {
         let ip = free_ip(index);
         let zone = zones[index % zones.len()].to_owned();
@@ -63,6 +77,7 @@
         let (front, ready) = (free_port(&ip), free_port(&ip));
         let peer = free_port(&ip);
         let zone_table: String = zones.iter().map(|z| format!("{z} = \"norte\"\n")).collect();
+        let (apply, stable) = machine.bounds_ms();
         let settings = format!(
             "nodeName = \"{name}\"\nrole = \"entry\"\nmachineClass = \"edge\"\nserves = [\"edge\"]\n\
              ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"norte\"\ninternalPorts = [{peer},{peer}]\n\
@@ -70,17 +85,17 @@
              entry = \"vip\"\nheartbeatMs = 1200\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\
              \"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\",\"gangs\"]\n\
              [zones]\n{zone_table}[listen]\nfrontend = \"{ip}:{front}\"\nreadiness = \"{ip}:{ready}\"\n\
-             [limits]\ncpuFraction = 0.25\ncores = 1\nmemoryMb = {memory_mb}\nmaxFds = 4100\n\
-             linkMbps = 1000.0\ndiskMb = 0\n[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n\
-             [bounds]\nseedLagS = 3\nreuseAfterS = 2\nstableWindowMs = 3000\nackMs = 4000\n\
-             catchUpS = 4\ndrainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\n\
+             [limits]\ncpuFraction = 0.25\ncores = 1\nmemoryMb = {}\nmaxFds = 4100\n\
+             linkMbps = {:.1}\ndiskMb = 0\n[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n\
+             [bounds]\nseedLagS = 3\nreuseAfterS = 2\nstableWindowMs = {stable}\nackMs = 4000\n\
+             catchUpS = 4\ndrainMs = {apply}\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = {apply}\n\
              revertSlackMs = 250\nmaxSkewMs = 5000\nstrictRevocation = false\nrevokeMs = 5000\n\
              retryRatio = 0.2\nretryWindowS = 10\nretryBurst = 109\nrecoveryS = 12\n\
              iterationMs = 120\nretryAfterS = 0\nstallMs = 4000\nfencingEnforced = true\n\
              ceilingWindowS = 5\nloadBurstFactor = 1.1\n[platform]\naddress = \"{}\"\n\
              form = \"objects\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\n\
              maxValueBytes = 1048576\nminTtlMs = 1000\n",
-            store.address
+            machine.memory_mb, machine.link_mbps, store_address
         );
         let settings_path: PathBuf = places.temp.join(format!("{name}.toml"));
         fs::write(&settings_path, settings).expect("the settings can't be written");
--- a/review/standin/scene.rs
+++ b/review/standin/scene.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     client::{Balancer, Clients, Kind},
-    node::{Node, Places},
+    node::{Machine, Node, Places},
+    proxy::Link,
     record::Record,
     store::Store,
     worker::{Profile, Worker},
@@ -27,10 +28,15 @@
     pub store: Store,
     pub workers: Vec<Worker>,
     pub nodes: Vec<Node>,
+    /// Links of the nodes to the store.
+    pub links: Vec<Link>,
     pub clients: Arc<Clients>,
     temp: PathBuf,
 }
 
+/// Bandwidth of a link that is not limited; nodes then reach the store directly.
+pub const NO_LIMIT: f64 = 1_000.0;
+
 /// Model workers of the deployment, and the size of its machines.
 #[derive(Clone, Copy)]
 pub struct Engines {
@@ -40,12 +46,19 @@
     pub stream: Duration,
     /// Memory of a node's machine.
     pub memory_mb: u64,
+    /// Bandwidth of the link of a node's machine.
+    pub link_mbps: f64,
 }
 
-pub const ONE_GROUP: Engines =
-    Engines { count: 2, group_size: 2, stream: Duration::from_millis(200), memory_mb: 260 };
+pub const ONE_GROUP: Engines = Engines {
+    count: 2,
+    group_size: 2,
+    stream: Duration::from_millis(200),
+    memory_mb: 260,
+    link_mbps: NO_LIMIT,
+};
 
-pub fn configuration(version: u64, group_size: usize, more_routes: usize) -> String {
+pub fn configuration(version: u64, group_size: usize, more_routes: usize, has_old: bool) -> String {
     let route =
         |name: &str, kind: &str, timeout: u64, target: u64, service: &str, attempts: u32| {
             let resumable = kind == "streaming";
@@ -61,6 +74,9 @@
         route("book", "unsafe", 1_000, 150, "reservas", 1),
         route("look", "safe", 1_000, 150, "reservas", 2),
     ];
+    if has_old {
+        routes.push(route("old", "safe", 1_000, 150, "reservas", 2));
+    }
     for index in 0..more_routes {
         routes.push(route(&format!("idle-{index}"), "safe", 1_000, 150, "reservas", 2));
     }
@@ -85,7 +101,7 @@
         let temp = env::temp_dir().join(format!("turmerictack-review-{}", process::id()));
         fs::create_dir_all(&temp).ok()?;
         let store = Store::spawn();
-        store.put("config", "main", &configuration(7, engines.group_size, 0));
+        store.put("config", "main", &configuration(7, engines.group_size, 0, true));
         let mut workers = Vec::new();
         for index in 0..3 {
             let profile = Profile {
@@ -111,13 +127,20 @@
             };
             workers.push(Worker::spawn(profile, &store, &record));
         }
+        let machine = Machine { memory_mb: engines.memory_mb, link_mbps: engines.link_mbps };
+        let links: Vec<Link> =
+            (0..node_count).map(|_| Link::spawn(&store.address, engines.link_mbps)).collect();
+        let store_address = |i: usize| match engines.link_mbps < NO_LIMIT {
+            true => &links[i].address,
+            false => &store.address,
+        };
         let places = Places { root, temp: &temp };
         let nodes: Vec<Node> = (0..node_count)
-            .map(|i| Node::spawn(&places, &store, i, &ZONES, engines.memory_mb))
+            .map(|i| Node::spawn(&places, store_address(i), i, &ZONES, &machine))
             .collect();
         let all_ready = nodes.iter().all(|n| n.wait_until_ready(Duration::from_secs(10)));
         let clients = Clients::new(Balancer::spawn(&nodes), &record);
-        let scene = Self { record, store, workers, nodes, clients, temp };
+        let scene = Self { record, store, workers, nodes, links, clients, temp };
         if !all_ready || !scene.wait_until_served() {
             scene.record.say("the deployment did not start");
             return None;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -15,6 +15,9 @@
 /// Time for which changes are kept.
 const HISTORY: Duration = Duration::from_secs(20);
 
+/// Size of a watch's answer, as of a page of a listing; the next watch goes on from its `at`.
+const PAGE_BYTES: usize = 1_000_000;
+
 struct Change {
     at: Instant,
     revision: u64,
@@ -137,12 +140,19 @@
                 return (410, "{}".to_owned());
             }
             let is_new = |c: &&Change| c.revision > after && c.kind == kind;
-            let events: Vec<&str> =
-                state.history.iter().filter(is_new).map(|c| c.event.as_str()).collect();
+            let (mut events, mut bytes, mut at) = (Vec::new(), 0, state.revision);
+            for change in state.history.iter().filter(is_new) {
+                if bytes > 0 && bytes + change.event.len() > PAGE_BYTES {
+                    break;
+                }
+                bytes += change.event.len();
+                events.push(change.event.as_str());
+                at = change.revision;
+            }
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let events = events.join(",");
-                return (200, format!("{{\"events\":[{events}],\"at\":{}}}", state.revision));
+                return (200, format!("{{\"events\":[{events}],\"at\":{at}}}"));
             }
             state = self.inner.changed.wait_timeout(state, left).unwrap().0;
         }
--- a/review/standin/storm.rs
+++ b/review/standin/storm.rs
@@ -1,6 +1,6 @@
 //! Configurations follow each other quickly on machines of limited memory.
 
-use crate::scene::{Engines, Scene, configuration, number};
+use crate::scene::{Engines, NO_LIMIT, Scene, configuration, number};
 use std::{
     collections::BTreeMap,
     path::Path,
@@ -14,8 +14,13 @@
 /// Nodes; from twelve on, some watch the store for the others.
 const NODES: usize = 12;
 
-const ENGINES: Engines =
-    Engines { count: 2, group_size: 2, stream: Duration::from_millis(200), memory_mb: MEMORY_MB };
+const ENGINES: Engines = Engines {
+    count: 2,
+    group_size: 2,
+    stream: Duration::from_millis(200),
+    memory_mb: MEMORY_MB,
+    link_mbps: NO_LIMIT,
+};
 
 /// Routes that the first three configurations add, each.
 const MORE_ROUTES: usize = 1_456;
@@ -42,7 +47,8 @@
             change_at += GAP;
             version += 3;
             changes += 1;
-            let text = configuration(version, ENGINES.group_size, MORE_ROUTES * changes.min(3));
+            let text =
+                configuration(version, ENGINES.group_size, MORE_ROUTES * changes.min(3), true);
             if text.len() + 256 > MAX_VALUE_BYTES {
                 scene.record.say("the configuration is too large for the store");
                 return None;
