Drop the loads of lost peers although no heartbeat arrives

Cause: a report of load was dropped only while a heartbeat of another peer was applied, so the requests of lost nodes occupied the upstreams for good at a node that receives no heartbeats. Ruled out: the queue and the group itself; bookings and look-ups were served, and with one peer left the load went.

Change: reports expire at each interval of heartbeats. The time-out follows from the nodes that are known instead of those that have reported, so that a node that has just started keeps the loads of live peers of a large cluster.

The check in decisions that relied on the heartbeat of a third node calls the expiry itself and also checks that the load counts just before.

--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -110,7 +110,9 @@
                 addresses.extend(leaders.into_iter().filter(|a| *a != self.identity.address));
             }
             self.broadcast(&addresses, &updates).await;
-            self.tables.dispatch_all_waiting(self.clock.now());
+            let now = self.clock.now();
+            self.tables.expire_reports(now);
+            self.tables.dispatch_all_waiting(now);
             sleep(HEARTBEAT_INTERVAL).await;
         }
     }
--- a/crates/serving/src/load/peers.rs
+++ b/crates/serving/src/load/peers.rs
@@ -2,7 +2,6 @@
 
 use {
     super::{LoadTracker, PeerLoads, STALL_TIMEOUT, UpstreamLoad},
-    crate::membership::{MAX_MISSED_HEARTBEATS, heartbeat_round},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -17,7 +16,6 @@
 impl LoadTracker {
     /// Replaces the load last reported by a peer.
     pub fn merge_peer_loads(&mut self, now: Instant, node: &NodeId, loads: &[HeartbeatLoad]) {
-        self.expire_peer_loads(now);
         let counts = |l: &HeartbeatLoad| (u32::from(l.in_flight), l.prompt_tokens);
         let by_upstream: BTreeMap<UpstreamKey, (u32, u32)> =
             loads.iter().map(|l| (l.upstream, counts(l))).collect();
@@ -36,10 +34,10 @@
         }
     }
 
-    /// Drops the loads of peers that have not reported for a while.
-    fn expire_peer_loads(&mut self, now: Instant) {
-        let round = heartbeat_round(self.peer_loads.len());
-        let timeout = MIN_PEER_LOAD_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS);
+    /// Drops the loads of peers that have not reported within the heartbeat timeout, so that the
+    /// requests of a lost node do not occupy upstreams any longer.
+    pub fn expire_peer_loads(&mut self, now: Instant, heartbeat_timeout: Duration) {
+        let timeout = MIN_PEER_LOAD_TIMEOUT.max(heartbeat_timeout);
         let expired: Vec<NodeId> = self
             .peer_loads
             .iter()
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -40,7 +40,7 @@
 const MIN_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Number of heartbeats in a row that must be missing for a node to count as dead.
-pub const MAX_MISSED_HEARTBEATS: u32 = 3;
+const MAX_MISSED_HEARTBEATS: u32 = 3;
 
 /// Number of peers to which a node sends heartbeats in one interval.
 pub fn heartbeats_per_interval(peers: usize) -> usize {
@@ -201,8 +201,8 @@
         now < peer.last_heartbeat + timeout
     }
 
-    /// Time without a heartbeat after which a node counts as dead.
-    fn heartbeat_timeout(&self) -> Duration {
+    /// Time without a heartbeat after which a node counts as dead, unless it sends them frequently.
+    pub fn heartbeat_timeout(&self) -> Duration {
         let round = heartbeat_round(self.registered.len().max(self.peers.len()));
         MIN_HEARTBEAT_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS)
     }
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -135,6 +135,14 @@
         self
     }
 
+    /// Drops what peers reported and have not confirmed in time.
+    ///
+    /// It is called at each interval of heartbeats: a node that is left alone receives none.
+    pub fn expire_reports(&self, now: Instant) {
+        let heartbeat_timeout = self.peers.lock().heartbeat_timeout();
+        self.balancer.lock().loads.expire_peer_loads(now, heartbeat_timeout);
+    }
+
     /// Accepted configuration, if any.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.lock().current().cloned()
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -133,7 +133,9 @@
     loads.merge_peer_loads(now, &"n2".to_owned(), &[load]);
     assert_eq!(select(&loads, now, &[a.clone(), b.clone()], &[]), Selection::Upstream(b.clone()));
     assert_eq!(select(&loads, now, std::slice::from_ref(&a), &[]), Selection::Saturated);
-    loads.merge_peer_loads(now + ms(2_000), &"n3".to_owned(), &[]);
+    loads.expire_peer_loads(now + ms(1_499), ms(1_000));
+    assert_eq!(select(&loads, now, std::slice::from_ref(&a), &[]), Selection::Saturated);
+    loads.expire_peer_loads(now + ms(2_000), ms(1_000));
     assert_eq!(select(&loads, now, std::slice::from_ref(&a), &[]), Selection::Upstream(a));
 }
 
