End the quarantine of prompts at a node without peers

A node that was left alone kept rejecting prompts for longer than the 600 s for which a crash counts: crashes expired only while a heartbeat was applied, the same cause as that of the load of lost nodes. They expire at each interval now.

Test: quarantine_of_a_prompt_ends_although_no_heartbeat_arrives failed before.

--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -135,12 +135,13 @@
         self
     }
 
-    /// Drops what peers reported and have not confirmed in time.
+    /// Drops what peers reported and have not confirmed in time, and crashes that no longer count.
     ///
     /// It is called at each interval of heartbeats: a node that is left alone receives none.
     pub fn expire_reports(&self, now: Instant) {
         let heartbeat_timeout = self.peers.lock().heartbeat_timeout();
         self.balancer.lock().loads.expire_peer_loads(now, heartbeat_timeout);
+        self.update_prompt_quarantine(|q| q.expire(now));
     }
 
     /// Accepted configuration, if any.
@@ -199,10 +200,7 @@
 
     /// Applies what another node has observed about prompts that crashed engines.
     pub fn apply_prompt_updates(&self, now: Instant, updates: PromptUpdates) {
-        self.update_prompt_quarantine(|q| {
-            let has_expired = q.expire(now);
-            q.apply(now, updates) || has_expired
-        });
+        self.update_prompt_quarantine(|q| q.apply(now, updates));
     }
 
     /// Updates the quarantine of prompt parts, and logs its content if `update` returns `true`.
--- a/crates/serving/tests/lost_peers.rs
+++ b/crates/serving/tests/lost_peers.rs
@@ -1,4 +1,4 @@
-//! Loads of nodes that are lost, at the nodes that are left.
+//! What a node knows from peers that are lost, and its own state while it is alone.
 
 #![allow(clippy::unwrap_used, reason = "a poisoned lock fails the test")]
 
@@ -37,6 +37,9 @@
 /// Time after its loss for which the load of a node may count, in clusters of up to 9 nodes.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2_000);
 
+/// Time after which a crash no longer counts.
+const PROMPT_RETENTION: Duration = Duration::from_secs(600);
+
 /// Heartbeats that a test delivers.
 #[derive(Default)]
 struct Inbox {
@@ -207,3 +210,21 @@
     assert_eq!(node.in_flight(), 1);
     assert_eq!(node.tables.peers.lock().live_count(node.clock.now()), 2);
 }
+
+/// Guards against a quarantine without an end at a node without peers.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn quarantine_of_a_prompt_ends_although_no_heartbeat_arrives() {
+    let node = Node::spawn(1);
+    let parts = [7].into();
+    for crash in 0..3 {
+        node.tables.prompt_quarantine.lock().record_crash(node.clock.now(), crash, &parts);
+        node.clock.advance(STEP);
+    }
+    let is_quarantined = || node.tables.prompt_quarantine.lock().is_quarantined(&parts);
+    node.advance(STEP).await;
+    assert!(is_quarantined());
+    node.clock.advance(PROMPT_RETENTION);
+    node.advance(STEP).await;
+    assert!(!is_quarantined());
+}
