Release a slot that is assigned as its request ends

The channel with the assignment was dropped without a release. A queued request now owns the channel, and releases what it holds when it ends; an assignment that arrives together with the timeout is used.

Test: slot_assigned_to_a_request_that_has_ended_is_free_again failed before (one request stayed in flight).

--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -6,7 +6,7 @@
         attempts::{Attempts, SendRecord},
         directory::{PoolKey, Upstream},
         load::UpstreamOutcome,
-        queue::{SchedulingParams, wait_deadline},
+        queue::{SchedulingParams, Ticket, wait_deadline},
         rejection::{Reason, Rejection},
         tables::{Placement, Tables},
     },
@@ -14,7 +14,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep_until,
+    tokio::{sync::oneshot, time::sleep_until},
     turmerictack_model::clock::Clock,
 };
 
@@ -116,13 +116,8 @@
                 return Err(rejection_after(attempts, reason, MIN_RETRY_AFTER));
             }
         };
-        let guard = QueueGuard { proxy: self, pool: &context.pool, ticket };
-        let assigned = tokio::select! {
-            assigned = assigned => assigned.ok(),
-            () = sleep_until(params.expires_at.into()) => None,
-        };
-        drop(guard);
-        match assigned {
+        let mut queued = QueuedRequest { proxy: self, context, ticket, assigned };
+        match queued.assignment(params.expires_at).await {
             Some(upstream) => Ok(self.permit(context, upstream)),
             None => {
                 let wait = params.expires_at.saturating_duration_since(now);
@@ -152,16 +147,35 @@
     }
 }
 
-/// Removes a request from the queue on drop, for example when its client disconnects.
-struct QueueGuard<'a> {
+/// A request in the queue.
+///
+/// Dropping it, for example when its client disconnects, removes it from the queue and releases a
+/// slot that was assigned in the meantime.
+struct QueuedRequest<'a> {
     proxy: &'a Proxy,
-    pool: &'a PoolKey,
-    ticket: u64,
+    context: &'a RequestContext,
+    ticket: Ticket,
+    assigned: oneshot::Receiver<Arc<Upstream>>,
+}
+
+impl QueuedRequest<'_> {
+    /// Waits for a slot at an upstream; `None` if there is none in time.
+    async fn assignment(&mut self, expires_at: Instant) -> Option<Arc<Upstream>> {
+        tokio::select! {
+            biased;
+            assigned = &mut self.assigned => assigned.ok(),
+            () = sleep_until(expires_at.into()) => None,
+        }
+    }
 }
 
-impl Drop for QueueGuard<'_> {
+impl Drop for QueuedRequest<'_> {
     fn drop(&mut self) {
-        self.proxy.tables.cancel_wait(self.pool, self.ticket);
+        self.proxy.tables.cancel_wait(&self.context.pool, self.ticket);
+        // Nothing is assigned once the request has left the queue.
+        if let Ok(upstream) = self.assigned.try_recv() {
+            drop(self.proxy.permit(self.context, upstream));
+        }
     }
 }
 
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -585,3 +585,31 @@
     let all = lookup_upstreams(&proxy, &upstreams, &clock, 40).await;
     assert!(all.is_superset(&busy), "{all:?}");
 }
+
+/// Guards against a slot that is lost for good when a request ends at the moment at which it gets
+/// one.
+#[rstest]
+#[tokio::test]
+async fn slot_assigned_to_a_request_that_has_ended_is_free_again() {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::Hang);
+    // Two slots and one excess request at each of two upstreams.
+    let running: Vec<_> = (0..6)
+        .map(|_| {
+            let proxy = Arc::clone(&proxy);
+            tokio::spawn(async move { proxy.serve(request("notes")).await })
+        })
+        .collect();
+    sleep(Duration::from_millis(50)).await;
+    let mut waiting = Box::pin(proxy.serve(request("notes")));
+    assert!(timeout(Duration::from_millis(50), &mut waiting).await.is_err());
+    for request in running {
+        request.abort();
+    }
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(upstreams.sends(), 6, "the slot is assigned and not taken yet");
+    assert_eq!(total_in_flight(&proxy), 1);
+    drop(waiting);
+    assert_eq!(total_in_flight(&proxy), 0);
+}
