Try upstreams again that failed a while ago

An upstream above the failure rate got no requests while another one was healthy, and so no successes that would lower its rate: it was avoided for good, also after a restart. The rate now halves in each 30 s without a result.

Test: upstream_that_failed_gets_requests_again_after_a_while failed before.

--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -1,9 +1,11 @@
 //! Requests in flight at each upstream, over all nodes, and the choice between upstreams.
 
+mod failures;
 mod peers;
 mod stalls;
 
 use {
+    self::failures::FailureRate,
     crate::{
         directory::Upstream,
         flap_damping::FlapDamping,
@@ -52,12 +54,6 @@
 /// Advantage of an upstream in the same data centre, in requests in flight.
 const LOCAL_DATA_CENTRE_BONUS: f64 = 0.5;
 
-/// Weight of the latest response in the moving average of the failure rate.
-const FAILURE_EWMA_WEIGHT: f64 = 0.1;
-
-/// Failure rate at which an upstream counts as unhealthy.
-const MAX_FAILURE_RATE: f64 = 0.3;
-
 /// Weight of the latest interval in the moving average of the time between events.
 const INTERVAL_EWMA_WEIGHT: f64 = 0.2;
 
@@ -85,7 +81,7 @@
     /// Difference between the load that the upstream stated and the one that was counted then, and
     /// the time until which it is used.
     correction: Option<(i64, Instant)>,
-    failure_rate: f64,
+    failures: FailureRate,
     event_interval_ms: Option<f64>,
     send_rate: SendRate,
 }
@@ -291,7 +287,7 @@
         if upstream.is_incomplete && !self.has_recent_progress(now, upstream.key) {
             return false;
         }
-        self.by_key.get(&upstream.key).is_none_or(|l| l.failure_rate < MAX_FAILURE_RATE)
+        !self.by_key.get(&upstream.key).is_some_and(|l| l.failures.is_too_high(now))
     }
 
     /// Requests in flight at an upstream, summed over all nodes.
@@ -365,12 +361,10 @@
         load.local_in_flight = load.local_in_flight.saturating_sub(1);
         match outcome {
             UpstreamOutcome::Success => {
-                load.failure_rate *= 1.0 - FAILURE_EWMA_WEIGHT;
+                load.failures.record(now, false);
                 load.cooldown_until = None;
             }
-            UpstreamOutcome::Failure => {
-                load.failure_rate += (1.0 - load.failure_rate) * FAILURE_EWMA_WEIGHT
-            }
+            UpstreamOutcome::Failure => load.failures.record(now, true),
             UpstreamOutcome::Cooldown(cooldown) => {
                 let cooldown = load.flaps.damped(now, cooldown);
                 load.cooldown_until = Some(now + cooldown);
@@ -415,7 +409,7 @@
             flaps: FlapDamping::default(),
             pause: None,
             correction: None,
-            failure_rate: 0.0,
+            failures: FailureRate::new(now),
             event_interval_ms: None,
             send_rate: SendRate::new(now),
         })
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -196,6 +196,30 @@
     assert_eq!(select(&loads, now, &upstreams, &["a".to_owned()]), Selection::NoCandidate);
 }
 
+/// Guards against an upstream that failed for a while and is avoided for good, since only requests
+/// could show that it has recovered.
+#[rstest]
+fn upstream_that_failed_gets_requests_again_after_a_while() {
+    let now = Instant::now();
+    let mut loads = LoadTracker::default();
+    let (failed, healthy) = (upstream("a"), upstream("b"));
+    for _ in 0..10 {
+        loads.acquire(now, &failed, 0);
+        loads.release(now, failed.key, UpstreamOutcome::Failure);
+    }
+    // The healthy one is busier, so the other one is chosen if it counts as healthy.
+    loads.acquire(now, &healthy, 0);
+    loads.acquire(now, &healthy, 0);
+    let upstreams = [failed.clone(), healthy.clone()];
+    assert_eq!(select(&loads, now, &upstreams, &[]), Selection::Upstream(healthy.clone()));
+    let soon = now + ms(10_000);
+    loads.record_progress(soon, healthy.key, None);
+    assert_eq!(select(&loads, soon, &upstreams, &[]), Selection::Upstream(healthy.clone()));
+    let later = now + ms(60_000);
+    loads.record_progress(later, healthy.key, None);
+    assert_eq!(select(&loads, later, &upstreams, &[]), Selection::Upstream(failed));
+}
+
 #[rstest]
 fn only_open_group_heads_that_are_not_draining_are_upstreams() {
     let mut directory = Directory::default();
