Quarantine a request only where upstreams have crashed

Cause: each lost connection counted as a crash, and no answer lifted the suspicion; an entry kept its upstreams past its 600 s, so that one more loss renewed it.

Change: a lost connection is kept as a loss for 6 s and counts once its upstream refuses connections, has started again, or is known to a peer to have crashed. So a crash some time after the answer was cut still counts. Whole requests are recorded like prompts: by crash, repeated for nodes that have restarted, cleared by a complete answer. Heartbeats have version 5.

--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -28,8 +28,8 @@
     Calls,
     /// Requests that crashed upstreams.
     Quarantine,
-    /// Parts of prompts that crashed engines.
-    PromptQuarantine,
+    /// Crashes of upstreams, and what is quarantined because of them.
+    Crashes,
     /// Retries sent in the last seconds, which the retry budget limits.
     RetryBudget,
     /// Counters of the error budget burn report.
--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -9,7 +9,7 @@
 };
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-pub const HEARTBEAT_VERSION: u16 = 4;
+pub const HEARTBEAT_VERSION: u16 = 5;
 
 /// Hash of an upstream's name, which keeps a heartbeat that lists dozens of upstreams small.
 pub type UpstreamKey = u32;
@@ -29,24 +29,14 @@
     pub stalled: bool,
 }
 
-/// Loss of an upstream while it was running a request, which counts towards the request's
-/// quarantine.
+/// Request or prompt that may have crashed its upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct HeartbeatUpstreamLoss {
-    /// Digest of the request.
-    pub digest: String,
-    /// Upstream that was lost.
-    pub upstream: InstanceId,
-}
-
-/// Prompt that was unanswered when its engine crashed.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct HeartbeatPromptCrash {
+pub struct HeartbeatCrash {
     /// Hash that identifies the crash.
     pub crash: u64,
     /// Time since the crash, in milliseconds.
     pub age_ms: u32,
-    /// Shared parts of the prompt.
+    /// Shared parts of the prompt, or the hash of the whole request.
     pub parts: Vec<PromptPartId>,
 }
 
@@ -75,10 +65,12 @@
     pub loads: Vec<HeartbeatLoad>,
     /// Instances whose streams have all stalled at the sender.
     pub unresponsive: Vec<InstanceId>,
-    /// Losses of upstreams while they were running a request.
-    pub losses: Vec<HeartbeatUpstreamLoss>,
     /// Prompts that were unanswered when their engines crashed.
-    pub prompt_crashes: Vec<HeartbeatPromptCrash>,
+    pub prompt_crashes: Vec<HeartbeatCrash>,
     /// Parts of prompts that engines answered after a crash.
     pub cleared_parts: Vec<PromptPartId>,
+    /// Requests that were lost when their upstreams crashed.
+    pub request_crashes: Vec<HeartbeatCrash>,
+    /// Requests that upstreams answered completely after a crash.
+    pub cleared_requests: Vec<PromptPartId>,
 }
--- a/crates/routing/src/prompt_quarantine.rs
+++ b/crates/routing/src/crash_quarantine.rs
@@ -1,9 +1,9 @@
-//! Quarantine of prompt parts that crash engines.
+//! Quarantine of prompt parts that crash engines, and of whole requests that crash upstreams.
 //!
-//! A crash of an engine ends all of its requests, so a single crash does not tell which of them
+//! A crash of an upstream ends all of its requests, so a single crash does not tell which of them
 //! caused it. Each crash is recorded with the prompts that had not been answered yet, on whichever
 //! node, and the parts that the most crashes have in common are quarantined. A part is cleared
-//! when an engine answers a prompt that contains it.
+//! when an upstream answers a prompt that contains it. A whole request is a prompt of a single part.
 
 use {
     std::{
@@ -57,7 +57,7 @@
 
 /// Observations to send to other nodes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PromptUpdates {
+pub struct CrashUpdates {
     /// Prompts that were unanswered when their engine crashed.
     pub crashes: Vec<CrashReport>,
     /// Parts of prompts that were answered.
@@ -71,8 +71,9 @@
 }
 
 /// Crashes of engines, and the prompt parts that are quarantined because of them.
-#[derive(Debug, Default)]
-pub struct PromptQuarantine {
+#[derive(Debug)]
+pub struct CrashQuarantine {
+    min_crash_interval: Duration,
     crashes: BTreeMap<CrashKey, Crash>,
     cleared_at: BTreeMap<PromptPartId, Instant>,
     /// Parts that occur in a crash and have not been cleared since.
@@ -84,7 +85,36 @@
     last_refresh: Option<(Instant, CrashKey)>,
 }
 
-impl PromptQuarantine {
+impl CrashQuarantine {
+    /// A quarantine of parts of prompts.
+    pub fn for_prompts() -> Self {
+        Self::new(MIN_CRASH_INTERVAL)
+    }
+
+    /// A quarantine of whole requests, for which each crash counts: a request that is retried may
+    /// crash one upstream just after the other.
+    pub fn for_requests() -> Self {
+        Self::new(Duration::ZERO)
+    }
+
+    fn new(min_crash_interval: Duration) -> Self {
+        Self {
+            min_crash_interval,
+            crashes: BTreeMap::new(),
+            cleared_at: BTreeMap::new(),
+            suspects: PromptParts::new(),
+            quarantined: Vec::new(),
+            pending_crashes: Vec::new(),
+            pending_cleared: Vec::new(),
+            last_refresh: None,
+        }
+    }
+
+    /// Whether any part occurs in a crash and has not been cleared since.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
     /// Whether a crash has been recorded, here or by another node.
     pub fn is_known(&self, crash: CrashKey) -> bool {
         self.crashes.contains_key(&crash)
@@ -115,7 +145,7 @@
     }
 
     /// Applies what another node has observed; returns whether it changed what is quarantined.
-    pub fn apply(&mut self, now: Instant, updates: PromptUpdates) -> bool {
+    pub fn apply(&mut self, now: Instant, updates: CrashUpdates) -> bool {
         let is_cleared = self.clear(now, &updates.cleared);
         let mut is_new = false;
         for report in updates.crashes {
@@ -127,7 +157,7 @@
     }
 
     /// Observations to send to other nodes in this gossip round.
-    pub fn next_updates(&mut self, now: Instant) -> PromptUpdates {
+    pub fn next_updates(&mut self, now: Instant) -> CrashUpdates {
         let mut reports: Vec<(CrashKey, PromptParts)> = Vec::new();
         for (crash, parts, rounds) in self.pending_crashes.iter_mut().take(MAX_UPDATES_PER_ROUND) {
             reports.push((*crash, parts.clone()));
@@ -152,7 +182,7 @@
                 (!parts.is_empty()).then_some(CrashReport { crash, age, parts })
             })
             .collect();
-        PromptUpdates { crashes, cleared }
+        CrashUpdates { crashes, cleared }
     }
 
     /// Whether a prompt with these shared parts is quarantined.
@@ -241,7 +271,7 @@
         open.sort_by_key(|(at, _)| *at);
         self.suspects = open.iter().flat_map(|(_, prompts)| prompts).flatten().copied().collect();
         let mut quarantined: Vec<PromptParts> = Vec::new();
-        while let Some(common) = most_common_parts(&open) {
+        while let Some(common) = most_common_parts(&open, self.min_crash_interval) {
             let (explained, rest): (Vec<_>, Vec<_>) = open
                 .into_iter()
                 .partition(|(_, prompts)| prompts.iter().any(|parts| !parts.is_disjoint(&common)));
@@ -265,7 +295,11 @@
 
 /// Parts that occur in the most crashes, if these are enough for a quarantine; several parts if
 /// they occur in the same crashes. The crashes are in order of time.
-fn most_common_parts(crashes: &[(Instant, Vec<PromptParts>)]) -> Option<PromptParts> {
+fn most_common_parts(
+    crashes: &[(Instant, Vec<PromptParts>)],
+    min_interval: Duration,
+) -> Option<PromptParts> {
+    let count_separate = |times: &[Instant]| count_separate(times, min_interval);
     let mut occurrences: BTreeMap<PromptPartId, Vec<Instant>> = BTreeMap::new();
     for (at, prompts) in crashes {
         let parts: PromptParts = prompts.iter().flatten().copied().collect();
@@ -283,11 +317,11 @@
 }
 
 /// Number of crashes, counting those that follow each other closely once.
-fn count_separate(times: &[Instant]) -> usize {
+fn count_separate(times: &[Instant], min_interval: Duration) -> usize {
     let mut count = 0;
     let mut last: Option<Instant> = None;
     for at in times {
-        if last.is_none_or(|last| *at >= last + MIN_CRASH_INTERVAL) {
+        if last.is_none_or(|last| *at >= last + min_interval) {
             count += 1;
             last = Some(*at);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,10 +1,11 @@
 //! Routing of calls: load balancing, attempts and retries, concurrency limits and quarantine.
 
 pub mod budget;
+pub mod crash_quarantine;
+pub mod crash_records;
 pub mod dispatch;
 pub mod limit;
 pub mod picker;
-pub mod prompt_quarantine;
 pub mod quarantine;
 pub mod upstream_set;
 
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -127,7 +127,7 @@
     }
 
     /// Whether an instance is about to be stopped.
-    fn is_leaving(&self, id: &InstanceId, instance: &Instance) -> bool {
+    pub(crate) fn is_leaving(&self, id: &InstanceId, instance: &Instance) -> bool {
         instance.draining || self.leaving.get(id) == Some(&instance.started_ms)
     }
 
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -1,4 +1,4 @@
-//! Heartbeats between nodes: liveness, load, suspected instances and lost upstreams.
+//! Heartbeats between nodes: liveness, load, suspected instances and crashes.
 
 use {
     crate::{
@@ -14,16 +14,13 @@
     tokio::time::sleep,
     turmerictack_model::{
         clock::Clock,
-        ids::{Address, DataCentre, Incarnation, NodeId},
+        ids::{Address, DataCentre, Incarnation, NodeId, PromptPartId},
     },
     turmerictack_protocol::{
         codec::{decode, encode},
-        heartbeat::{HEARTBEAT_VERSION, Heartbeat, HeartbeatPromptCrash, HeartbeatUpstreamLoss},
-    },
-    turmerictack_routing::{
-        prompt_quarantine::{CrashReport, PromptUpdates},
-        quarantine::UpstreamLoss,
+        heartbeat::{HEARTBEAT_VERSION, Heartbeat, HeartbeatCrash},
     },
+    turmerictack_routing::crash_quarantine::{CrashReport, CrashUpdates},
     turmerictack_telemetry::logs,
 };
 
@@ -65,8 +62,8 @@
 /// Updates that are sent to each peer once, in the same round of heartbeats.
 #[derive(Debug, Default)]
 struct RoundUpdates {
-    losses: Vec<UpstreamLoss>,
-    prompts: PromptUpdates,
+    prompts: CrashUpdates,
+    requests: CrashUpdates,
 }
 
 /// Sends heartbeats to peers and applies those received.
@@ -99,9 +96,11 @@
             let batch = self.tables.peers.lock().next_heartbeat_batch(&self.identity.address);
             if batch.starts_round {
                 self.tables.balancer.lock().loads.mark_reported();
+                let now = self.clock.now();
+                let mut crashes = self.tables.crashes.lock();
                 updates = RoundUpdates {
-                    losses: self.tables.quarantine.lock().next_updates(),
-                    prompts: self.tables.prompt_quarantine.lock().next_updates(self.clock.now()),
+                    prompts: crashes.prompts.next_updates(now),
+                    requests: crashes.requests.next_updates(now),
                 };
             }
             let mut addresses = batch.addresses;
@@ -150,9 +149,10 @@
             is_leader,
             loads,
             unresponsive,
-            losses: updates.losses.iter().map(encode_loss).collect(),
             prompt_crashes: updates.prompts.crashes.iter().map(encode_crash).collect(),
             cleared_parts: updates.prompts.cleared.clone(),
+            request_crashes: updates.requests.crashes.iter().map(encode_crash).collect(),
+            cleared_requests: updates.requests.cleared.clone(),
         }
     }
 
@@ -196,16 +196,9 @@
             balancer.loads.merge_peer_loads(now, &heartbeat.node, &heartbeat.loads);
             balancer.loads.record_suspects(now, heartbeat.unresponsive);
         }
-        {
-            let mut quarantine = self.tables.quarantine.lock();
-            for loss in heartbeat.losses {
-                let loss = UpstreamLoss { digest: loss.digest, upstream: loss.upstream };
-                quarantine.record_loss(now, loss);
-            }
-        }
-        let crashes = heartbeat.prompt_crashes.into_iter().map(decode_crash).collect();
-        let updates = PromptUpdates { crashes, cleared: heartbeat.cleared_parts };
-        self.tables.apply_prompt_updates(now, updates);
+        let prompts = decode_updates(heartbeat.prompt_crashes, heartbeat.cleared_parts);
+        let requests = decode_updates(heartbeat.request_crashes, heartbeat.cleared_requests);
+        self.tables.update_crashes(|crashes| crashes.apply(now, prompts, requests));
     }
 
     async fn poll_node_list(self: Arc<Self>) {
@@ -226,19 +219,19 @@
     }
 }
 
-fn encode_loss(loss: &UpstreamLoss) -> HeartbeatUpstreamLoss {
-    HeartbeatUpstreamLoss { digest: loss.digest.clone(), upstream: loss.upstream.clone() }
-}
-
-fn encode_crash(report: &CrashReport) -> HeartbeatPromptCrash {
-    HeartbeatPromptCrash {
+fn encode_crash(report: &CrashReport) -> HeartbeatCrash {
+    HeartbeatCrash {
         crash: report.crash,
         age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
         parts: report.parts.iter().copied().collect(),
     }
 }
 
-fn decode_crash(crash: HeartbeatPromptCrash) -> CrashReport {
+fn decode_updates(crashes: Vec<HeartbeatCrash>, cleared: Vec<PromptPartId>) -> CrashUpdates {
+    CrashUpdates { crashes: crashes.into_iter().map(decode_crash).collect(), cleared }
+}
+
+fn decode_crash(crash: HeartbeatCrash) -> CrashReport {
     CrashReport {
         crash: crash.crash,
         age: Duration::from_millis(crash.age_ms.into()),
--- a/crates/serving/src/proxy/context.rs
+++ b/crates/serving/src/proxy/context.rs
@@ -1,6 +1,7 @@
 //! Routing result of a request, and the upstream request built from it.
 
 use {
+    super::crashes::request_part,
     crate::{
         config::{Account, Route},
         directory::PoolKey,
@@ -10,10 +11,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    turmerictack_model::{
-        digest::{Digest, digest},
-        ids::EventPosition,
-    },
+    turmerictack_model::ids::{EventPosition, PromptPartId},
 };
 
 /// Difference in engine priority between two adjacent request priorities.
@@ -38,10 +36,14 @@
     pub(crate) account: Option<Account>,
     pub(crate) pool: PoolKey,
     pub(crate) deadline: Instant,
-    pub(super) digest: Option<Digest>,
 }
 
 impl RequestContext {
+    /// Hash by which the quarantine identifies the request.
+    pub(super) fn request_part(&self) -> PromptPartId {
+        request_part(&self.route, self.account.as_ref(), &self.request)
+    }
+
     pub(super) fn priority(&self) -> u8 {
         self.account.as_ref().and_then(|a| a.priority).unwrap_or(self.route.priority)
     }
@@ -88,17 +90,6 @@
             account: self.account.clone(),
             pool: self.pool.clone(),
             deadline: self.deadline,
-            digest: self.digest.clone(),
         }
     }
 }
-
-pub(super) fn request_digest(
-    route: &Route,
-    account: Option<&Account>,
-    request: &Request,
-) -> Digest {
-    let account = account.map_or("", |a| a.id.as_str());
-    let raw = &request.raw;
-    digest(&[route.id.as_bytes(), account.as_bytes(), raw.path_and_query.as_bytes(), &raw.body])
-}
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -1,15 +1,15 @@
 //! Takes requests from the front end to upstreams and returns the responses.
 
 mod context;
+mod crashes;
 mod permit;
-mod prompts;
 mod send;
 mod telemetry;
 
 pub(crate) use self::{context::RequestContext, permit::Permit, send::outcome_of};
 
 use {
-    self::{context::request_digest, send::SendResult},
+    self::send::SendResult,
     crate::{
         attempts::{Attempts, NextStep},
         config::{Access, Account, Config, Route},
@@ -25,19 +25,16 @@
     cadence::StatsdClient,
     rand::RngExt as _,
     std::{sync::Arc, time::Duration},
-    turmerictack_model::{clock::Clock, digest::Digest, ids::DataCentre},
+    turmerictack_model::{clock::Clock, ids::DataCentre},
 };
 
-/// Number of upstreams lost during the same request after which it is rejected as quarantined.
-const QUARANTINE_AFTER_LOSSES: usize = 3;
-
 /// Retry delay suggested to clients of a node that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Minimum retry delay suggested to clients.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Retry delay suggested to clients whose prompt is quarantined.
+/// Retry delay suggested to clients whose request or prompt is quarantined.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// Interval at which a request that waits for bytes checks whether its upstream is stalled.
@@ -88,22 +85,21 @@
             return Err(Box::new((request, rejection)));
         };
         match self.resolve(&config, &request) {
-            Ok((route, account, pool, digest)) => {
+            Ok((route, account, pool)) => {
                 let client_timeout =
                     request.client_timeout.unwrap_or(route.timeout).min(route.timeout);
                 let deadline = request.received_at + client_timeout;
-                Ok(RequestContext { request, route, account, pool, deadline, digest })
+                Ok(RequestContext { request, route, account, pool, deadline })
             }
             Err(rejection) => Err(Box::new((request, rejection))),
         }
     }
 
-    #[allow(clippy::type_complexity, reason = "destructured by the only caller")]
     fn resolve(
         &self,
         config: &Config,
         request: &Request,
-    ) -> Result<(Route, Option<Account>, PoolKey, Option<Digest>), Rejection> {
+    ) -> Result<(Route, Option<Account>, PoolKey), Rejection> {
         let route = config
             .find_route(&request.host, &request.path)
             .ok_or(Rejection::invalid(Reason::NoRoute))?;
@@ -113,11 +109,7 @@
         let Access::Granted(account) = config.authorize(route, request.api_key.as_deref()) else {
             return Err(Rejection::invalid(Reason::UnknownKey));
         };
-        let digest = self.quarantine_digest(route, account.as_ref(), request);
-        if digest.as_ref().is_some_and(|digest| self.has_too_many_losses(digest)) {
-            return Err(Rejection::not_executed(Reason::Quarantined, MIN_RETRY_AFTER));
-        }
-        if self.is_prompt_quarantined(request) {
+        if self.is_quarantined(route, account.as_ref(), request) {
             return Err(Rejection::not_executed(Reason::Quarantined, QUARANTINE_RETRY_AFTER));
         }
         let draw = self.tables.balancer.lock().rng.random::<u32>();
@@ -126,31 +118,7 @@
             .ok_or(Rejection::not_executed(Reason::NoUpstream, MIN_RETRY_AFTER))?;
         let is_engine = config.services.get(service).is_some_and(|s| s.engine.is_some());
         let model = request.model.clone().filter(|_| is_engine);
-        Ok((route.clone(), account, (service.clone(), model), digest))
-    }
-
-    /// Digest of a request to look up in the quarantine; `None` while the quarantine is empty.
-    fn quarantine_digest(
-        &self,
-        route: &Route,
-        account: Option<&Account>,
-        request: &Request,
-    ) -> Option<Digest> {
-        let is_quarantine_empty = self.tables.quarantine.lock().entries().next().is_none();
-        (!is_quarantine_empty).then(|| request_digest(route, account, request))
-    }
-
-    fn has_too_many_losses(&self, digest: &Digest) -> bool {
-        let now = self.clock.now();
-        self.tables.quarantine.lock().loss_count(now, digest) >= QUARANTINE_AFTER_LOSSES
-    }
-
-    /// Whether a request that has been routed is quarantined now.
-    fn is_request_quarantined(&self, context: &RequestContext) -> bool {
-        let digest = context.digest.clone().or_else(|| {
-            self.quarantine_digest(&context.route, context.account.as_ref(), &context.request)
-        });
-        digest.is_some_and(|digest| self.has_too_many_losses(&digest))
+        Ok((route.clone(), account, (service.clone(), model)))
     }
 
     fn are_keys_fresh(&self) -> bool {
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -71,7 +71,7 @@
         attempts: &Attempts,
     ) -> Result<Permit, Rejection> {
         let permit = self.wait_for_permit(context, attempts).await?;
-        if self.is_request_quarantined(context) || self.is_prompt_quarantined(&context.request) {
+        if self.is_quarantined(&context.route, context.account.as_ref(), &context.request) {
             let reason = Reason::Quarantined;
             return Err(rejection_after(attempts, reason, QUARANTINE_RETRY_AFTER));
         }
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -134,7 +134,7 @@
 
     /// Resumes an interrupted stream at another upstream, after the last delivered event.
     pub(crate) async fn resume(
-        &self,
+        self: &Arc<Self>,
         context: &RequestContext,
         attempts: &mut Attempts,
         last_event: Option<EventPosition>,
@@ -236,7 +236,7 @@
 
     /// Reads a complete response; a server error is kept in `failure` in case no retry succeeds.
     pub(super) async fn read_response(
-        &self,
+        self: &Arc<Self>,
         context: &RequestContext,
         response: UpstreamResponse,
         mut permit: Permit,
--- a/crates/serving/src/proxy/telemetry.rs
+++ b/crates/serving/src/proxy/telemetry.rs
@@ -1,7 +1,7 @@
-//! Logs, metrics and quarantine records of requests.
+//! Logs and metrics of requests.
 
 use {
-    super::{Proxy, RequestContext, context::request_digest},
+    super::{Proxy, RequestContext},
     crate::{
         attempts::Attempts,
         config_state::KeyFreshness,
@@ -13,37 +13,28 @@
     },
     cadence::{Counted as _, Timed as _},
     http::StatusCode,
-    std::time::Instant,
+    std::{sync::Arc, time::Instant},
     turmerictack_model::ids::InstanceId,
-    turmerictack_routing::quarantine::UpstreamLoss,
     turmerictack_telemetry::logs,
 };
 
 impl Proxy {
-    /// Records that an upstream was lost while it ran this request.
-    pub(crate) fn record_upstream_loss(&self, context: &RequestContext, upstream: &Upstream) {
-        let digest = context.digest.clone().unwrap_or_else(|| {
-            request_digest(&context.route, context.account.as_ref(), &context.request)
-        });
-        let loss = UpstreamLoss { digest, upstream: upstream.instance.clone() };
-        self.tables.quarantine.lock().record_loss(self.clock.now(), loss);
-    }
-
     pub(crate) async fn record_send_failure(
-        &self,
+        self: &Arc<Self>,
         context: &RequestContext,
         attempts: &Attempts,
         upstream: &Upstream,
         error: &SendError,
     ) {
-        if *error == SendError::ConnectionLost {
-            self.record_upstream_loss(context, upstream);
-            if !attempts.is_answered() {
-                self.record_crash(context, upstream).await;
+        match error {
+            SendError::ConnectionLost => {
+                self.record_upstream_loss(context, attempts, upstream).await;
             }
-        }
-        if *error == SendError::NotSent {
-            self.upstream_client.close_idle_connections(&upstream.instance);
+            SendError::NotSent => {
+                self.check_earlier_loss(upstream).await;
+                self.upstream_client.close_idle_connections(&upstream.instance);
+            }
+            _ => {}
         }
         if let Some(lost) = lost_instance(error) {
             let now = self.clock.now();
@@ -78,6 +69,7 @@
         attempts: &Attempts,
         status: StatusCode,
     ) {
+        self.record_complete_answer(context);
         let now = self.clock.now();
         let elapsed = now.saturating_duration_since(context.request.received_at);
         let _ = self.metrics.time("requests.served", elapsed);
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -24,10 +24,7 @@
         ids::{DataCentre, InstanceId, PromptParts},
         table::{LockRank, Table},
     },
-    turmerictack_routing::{
-        prompt_quarantine::{PromptQuarantine, PromptUpdates},
-        quarantine::Quarantine,
-    },
+    turmerictack_routing::crash_records::{CrashRecords, RunState, UpstreamRun},
     turmerictack_telemetry::logs,
 };
 
@@ -81,10 +78,8 @@
     pub balancer: Table<Balancer>,
     /// Queued requests.
     pub queues: Table<Queues<Waiter>>,
-    /// Requests during which upstreams were lost.
-    pub quarantine: Table<Quarantine>,
-    /// Parts of prompts that crashed engines.
-    pub prompt_quarantine: Table<PromptQuarantine>,
+    /// Crashes of upstreams, and what is quarantined because of them.
+    pub crashes: Table<CrashRecords>,
     /// Budget for retries.
     pub retry_budget: Table<RetryBudget>,
     /// State of the node itself.
@@ -120,8 +115,7 @@
             directory: Table::new(LockRank::Groups, Directory::default()),
             balancer: Table::new(LockRank::Upstreams, balancer),
             queues: Table::new(LockRank::Admission, Queues::new()),
-            quarantine: Table::new(LockRank::Quarantine, Quarantine::default()),
-            prompt_quarantine: Table::new(LockRank::PromptQuarantine, PromptQuarantine::default()),
+            crashes: Table::new(LockRank::Crashes, CrashRecords::default()),
             retry_budget: Table::new(LockRank::RetryBudget, RetryBudget::new(retry_budget)),
             lifecycle: Table::new(LockRank::Lifecycle, Lifecycle::default()),
             facts: FactBoard::default(),
@@ -141,7 +135,7 @@
     pub fn expire_reports(&self, now: Instant) {
         let heartbeat_timeout = self.peers.lock().heartbeat_timeout();
         self.balancer.lock().loads.expire_peer_loads(now, heartbeat_timeout);
-        self.update_prompt_quarantine(|q| q.expire(now));
+        self.update_crashes(|crashes| crashes.expire(now));
     }
 
     /// Accepted configuration, if any.
@@ -169,6 +163,7 @@
         let keys: BTreeSet<_> = pools.values().flatten().map(|u| u.key).collect();
         balancer.loads.retain(&|key| keys.contains(&key));
         drop(balancer);
+        self.update_crashes(|crashes| crashes.apply_states(now, |run| run_state(&directory, run)));
         drop(directory);
         self.dispatch_all_waiting(now);
     }
@@ -198,21 +193,15 @@
         self.has_fresh_view(now) && self.watches_store()
     }
 
-    /// Applies what another node has observed about prompts that crashed engines.
-    pub fn apply_prompt_updates(&self, now: Instant, updates: PromptUpdates) {
-        self.update_prompt_quarantine(|q| q.apply(now, updates));
-    }
-
-    /// Updates the quarantine of prompt parts, and logs its content if `update` returns `true`.
-    pub(crate) fn update_prompt_quarantine(
-        &self,
-        update: impl FnOnce(&mut PromptQuarantine) -> bool,
-    ) {
-        let mut quarantine = self.prompt_quarantine.lock();
-        if update(&mut quarantine) {
-            let combinations = quarantine.quarantined().iter().map(format_parts);
-            logs::event("prompt_quarantine_changed")
-                .with("quarantined", combinations.collect::<Vec<_>>().join(","))
+    /// Updates the records of crashes, and logs what is quarantined if `update` returns `true`.
+    pub(crate) fn update_crashes(&self, update: impl FnOnce(&mut CrashRecords) -> bool) {
+        let mut crashes = self.crashes.lock();
+        if update(&mut crashes) {
+            let format =
+                |q: &[PromptParts]| q.iter().map(format_parts).collect::<Vec<_>>().join(",");
+            logs::event("quarantine_changed")
+                .with("prompts", format(crashes.prompts.quarantined()))
+                .with("requests", format(crashes.requests.quarantined()))
                 .info();
         }
     }
@@ -326,6 +315,17 @@
     }
 }
 
+/// What the list of instances says about a run of an upstream.
+///
+/// An instance that is no longer listed may go on running, cut off from the store.
+fn run_state(directory: &Directory, run: &UpstreamRun) -> RunState {
+    match directory.get(&run.upstream) {
+        Some(instance) if instance.started_ms != run.started_ms => RunState::Restarted,
+        Some(instance) if directory.is_leaving(&run.upstream, instance) => RunState::Leaving,
+        Some(_) | None => RunState::Running,
+    }
+}
+
 /// Parts of a prompt for the log.
 pub(crate) fn format_parts(parts: &PromptParts) -> String {
     parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join("+")
