Keep only the last change of each object for followers

The log of changes was bounded by number, and each configuration is a change with its whole text. Only the last change of each object is kept now: a follower has no use for the earlier ones.

--- a/crates/serving/src/relay/facts.rs
+++ b/crates/serving/src/relay/facts.rs
@@ -3,13 +3,14 @@
 use {
     super::{ChangeSet, ObjectChange, RelayError, digest, digest_part},
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::BTreeMap,
         time::{Duration, Instant},
     },
     turmerictack_model::ids::{ObjectName, Version},
 };
 
-/// Maximum number of changes that are kept; a node that lags further behind reads the store.
+/// Maximum number of objects whose last changes are kept; a node that lags further behind reads the
+/// store.
 const MAX_CHANGES: usize = 4_096;
 
 /// Objects of one kind as a node knows them from the store or a relay.
@@ -22,8 +23,12 @@
     outage_ended: Option<Instant>,
     /// Whether this node watches the store, so that others may ask it.
     is_watching: bool,
-    /// Changes since this node began to watch, up to [`MAX_CHANGES`].
-    changes: VecDeque<ObjectChange>,
+    /// Last change of each object since this node began to watch, up to [`MAX_CHANGES`].
+    ///
+    /// Earlier changes of an object are of no use to a node that gets the last one.
+    changes: BTreeMap<(Version, ObjectName), ObjectChange>,
+    /// Version of the change that is kept of an object.
+    logged: BTreeMap<ObjectName, Version>,
     /// Version after which `changes` are complete.
     complete_after: Version,
 }
@@ -48,6 +53,7 @@
     pub fn set_watching(&mut self, is_watching: bool) {
         if is_watching && !self.is_watching {
             self.changes.clear();
+            self.logged.clear();
             self.complete_after = self.version;
         }
         self.is_watching = is_watching;
@@ -154,11 +160,11 @@
         if after < self.complete_after {
             return Err(RelayError::HistoryTooShort);
         }
-        let first = self.changes.partition_point(|change| change.version <= after);
+        let first = (after.saturating_add(1), ObjectName::new());
         let age = |at: Instant| now.saturating_duration_since(at);
         Ok(ChangeSet {
             version: self.version,
-            changes: self.changes.range(first..).cloned().collect(),
+            changes: self.changes.range(first..).map(|(_, change)| change.clone()).collect(),
             digest: self.digest,
             confirmed_age: arrived_at.saturating_duration_since(confirmed_at),
             outage_age: self.outage_ended.map(age),
@@ -184,10 +190,17 @@
     }
 
     fn log(&mut self, changes: Vec<ObjectChange>) {
-        self.changes.extend(changes);
+        for change in changes {
+            let (name, version) = (change.name.clone(), change.version);
+            if let Some(replaced) = self.logged.insert(name.clone(), version) {
+                self.changes.remove(&(replaced, name.clone()));
+            }
+            self.changes.insert((version, name), change);
+        }
         while self.changes.len() > MAX_CHANGES {
-            if let Some(dropped) = self.changes.pop_front() {
-                self.complete_after = dropped.version;
+            if let Some(((version, name), _)) = self.changes.pop_first() {
+                self.logged.remove(&name);
+                self.complete_after = version;
             }
         }
     }
--- a/crates/serving/tests/relay.rs
+++ b/crates/serving/tests/relay.rs
@@ -99,6 +99,26 @@
     assert_eq!(changes, [written("c", 25), written("e", 28), deleted("b", 30)]);
 }
 
+/// Guards against nodes that keep the text of every configuration, and exceed their memory limit
+/// (review/2).
+#[rstest]
+#[case::one_object(&["a"])]
+#[case::two_objects(&["a", "d"])]
+fn only_the_last_change_of_an_object_is_kept_and_passed_on(#[case] names: &[&str]) {
+    let now = Instant::now();
+    let (mut relay, mut follower) = (watching(now), following(now));
+    for version in 11..1_000 {
+        let name = names[version as usize % names.len()];
+        relay.record_changes(version, vec![written(name, version)]);
+    }
+    relay.record_changes(1_000, vec![deleted("b", 1_000)]);
+    let set = relay.changes_since(now, now, 10).unwrap();
+    assert_eq!(set.changes.len(), names.len() + 1);
+    assert!(set.changes.is_sorted_by_key(|change| change.version));
+    follower.follow_relay(now, now, set).unwrap();
+    assert_eq!(follower.version(), 1_000);
+}
+
 #[rstest]
 fn node_answers_only_while_it_watches_and_as_far_back_as_it_knows() {
     let now = Instant::now();
