Refuse requests that can't be served before the end of a planned stop

Here a request whose head or body comes slowly is complete after the listener has closed, and was passed on whatever time was left. From SIGTERM on, a request is refused (503, not executed) if less is left than its own timeout or 2 s, and one that is sent gets the end of the stop as its deadline, so that it is answered.

--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -24,7 +24,10 @@
     bytes::Bytes,
     cadence::StatsdClient,
     rand::RngExt as _,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     turmerictack_model::{clock::Clock, ids::DataCentre},
 };
 
@@ -37,6 +40,14 @@
 /// Retry delay suggested to clients whose request or prompt is quarantined.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 
+/// Time before the end of a shutdown from which on requests are rejected instead of sent, unless
+/// their own timeout is shorter.
+const LATE_REQUEST_TIME: Duration = Duration::from_secs(2);
+
+/// Time before the end of a shutdown at which requests that are still unanswered get a final
+/// response.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// Interval at which a request that waits for bytes checks whether its upstream is stalled.
 pub(crate) const STALL_CHECK: Duration = Duration::from_millis(150);
 
@@ -89,12 +100,30 @@
                 let client_timeout =
                     request.client_timeout.unwrap_or(route.timeout).min(route.timeout);
                 let deadline = request.received_at + client_timeout;
-                Ok(RequestContext { request, route, account, pool, deadline })
+                match self.deadline_before_stop(deadline, client_timeout) {
+                    Ok(deadline) => Ok(RequestContext { request, route, account, pool, deadline }),
+                    Err(rejection) => Err(Box::new((request, rejection))),
+                }
             }
             Err(rejection) => Err(Box::new((request, rejection))),
         }
     }
 
+    /// Deadline of a request that arrives now, which is earlier while the node shuts down, so that the
+    /// request gets a response before its connection ends.
+    fn deadline_before_stop(
+        &self,
+        deadline: Instant,
+        client_timeout: Duration,
+    ) -> Result<Instant, Rejection> {
+        let Some(stops_at) = self.tables.lifecycle.lock().stops_at else { return Ok(deadline) };
+        let needed = client_timeout.min(LATE_REQUEST_TIME) + FINAL_RESPONSE_TIME;
+        if self.clock.now() + needed > stops_at {
+            return Err(Rejection::not_executed(Reason::Stopping, MIN_RETRY_AFTER));
+        }
+        Ok(deadline.min(stops_at - FINAL_RESPONSE_TIME))
+    }
+
     fn resolve(
         &self,
         config: &Config,
--- a/crates/serving/src/rejection.rs
+++ b/crates/serving/src/rejection.rs
@@ -36,6 +36,8 @@
     UpstreamLost,
     /// deadline
     Deadline,
+    /// stopping
+    Stopping,
 }
 
 /// What a rejection tells the client about execution of its request.
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -56,6 +56,8 @@
 pub struct Lifecycle {
     /// Whether it is shutting down.
     pub draining: bool,
+    /// Time at which it ends all connections; `None` until it shuts down.
+    pub stops_at: Option<Instant>,
     /// Whether it leads group control.
     pub is_leader: bool,
     /// Time at which the store, or a relay that is up to date, last answered a read of the
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -689,3 +689,46 @@
     drop(waiting);
     assert_eq!(total_in_flight(&proxy), 0);
 }
+
+/// Guards against requests that are passed on late in a planned stop, and cut off without an answer
+/// at its end.
+#[rstest]
+#[case::early(5_000, None)]
+#[case::in_time(2_500, None)]
+#[case::late(1_000, Some(Reason::Stopping))]
+#[case::last_moment(100, Some(Reason::Stopping))]
+#[tokio::test]
+async fn request_late_in_a_planned_stop_is_rejected_and_not_sent(
+    #[case] left_ms: u64,
+    #[case] reason: Option<Reason>,
+    #[values("book", "look")] route: &str,
+) {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::Respond(200, "done"));
+    tables.lifecycle.lock().stops_at = Some(Instant::now() + Duration::from_millis(left_ms));
+    let rejection = match proxy.serve(request(route)).await {
+        Reply::Rejected(rejection) => Some(rejection),
+        _ => None,
+    };
+    assert_eq!(rejection.map(|r| r.reason), reason);
+    assert!(rejection.is_none_or(|r| r.execution == ExecutionStatus::NotExecuted));
+    assert_eq!(upstreams.sends(), usize::from(reason.is_none()));
+}
+
+/// A booking that hangs at its upstream gets an answer before the node ends its connection.
+#[rstest]
+#[tokio::test]
+async fn request_that_is_running_at_the_end_of_a_planned_stop_gets_a_response() {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::Hang);
+    let stops_at = Instant::now() + Duration::from_millis(2_500);
+    tables.lifecycle.lock().stops_at = Some(stops_at);
+    let rejection = expect_rejection(&proxy, "book").await;
+    assert_eq!(
+        (rejection.reason, rejection.execution),
+        (Reason::Deadline, ExecutionStatus::Unknown)
+    );
+    assert!(Instant::now() < stops_at);
+}
