--- a/crates/serving/src/relay/source.rs
+++ b/crates/serving/src/relay/source.rs
@@ -165,6 +165,11 @@
         Source::Relay(relay)
     }
 
+    /// Whether there is a relay that can be asked, as far as is known.
+    pub fn has_relay(&self, roles: &RelayRoles) -> bool {
+        roles.relays.iter().any(|relay| !self.failed_relays.contains_key(relay))
+    }
+
     /// Records that a relay did not answer, does not watch the store, or knows less than this node.
     pub fn record_relay_failure(&mut self, now: Instant, relay: &Address) {
         self.failed_relays.insert(relay.clone(), now + RELAY_COOLDOWN);
