Put a crash down only to requests that were lost shortly before it

A loss was renewed by each later one of the same upstream, so that a crash was put down to requests lost long before, and the upstream was not looked at again after 3 s. Each request has its own time now, and the upstream is checked while any loss is kept.

Tests: losses_of_other_requests_do_not_renew_an_earlier_one and quarantined_request_is_the_first_that_restarted_nodes_learn_of, written with the change; by reading, both fail before (not run on the code before).

--- a/crates/routing/src/crash_quarantine.rs
+++ b/crates/routing/src/crash_quarantine.rs
@@ -29,8 +29,8 @@
 /// Largest number of crashes kept; above it, the oldest is dropped.
 const MAX_CRASHES: usize = 64;
 
-/// Largest number of prompts kept for one crash.
-const MAX_PROMPTS_PER_CRASH: usize = 16;
+/// Largest number of prompts kept for one crash; engines run fewer requests at once.
+const MAX_PROMPTS_PER_CRASH: usize = 32;
 
 /// Largest number of parts kept of one prompt.
 const MAX_PARTS_PER_PROMPT: usize = 32;
@@ -58,7 +58,7 @@
 /// Observations to send to other nodes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashUpdates {
-    /// Prompts that were unanswered when their engine crashed.
+    /// Prompts that were unanswered when their upstream crashed.
     pub crashes: Vec<CrashReport>,
     /// Parts of prompts that were answered.
     pub cleared: Vec<PromptPartId>,
@@ -70,7 +70,7 @@
     prompts: BTreeSet<PromptParts>,
 }
 
-/// Crashes of engines, and the prompt parts that are quarantined because of them.
+/// Crashes of upstreams, and the prompt parts that are quarantined because of them.
 #[derive(Debug)]
 pub struct CrashQuarantine {
     min_crash_interval: Duration,
@@ -233,7 +233,7 @@
         is_suspect && self.update(now)
     }
 
-    /// One known crash at each refresh interval, in turn.
+    /// One known crash at each refresh interval, in turn, with the quarantined prompts first.
     fn next_refresh(&mut self, now: Instant) -> Vec<(CrashKey, PromptParts)> {
         let previous = match self.last_refresh {
             Some((at, _)) if now < at + REFRESH_INTERVAL => return Vec::new(),
@@ -245,7 +245,9 @@
             return Vec::new();
         };
         self.last_refresh = Some((now, *key));
-        let prompts = crash.prompts.iter().take(MAX_UPDATES_PER_ROUND);
+        let (quarantined, others): (Vec<_>, Vec<_>) =
+            crash.prompts.iter().partition(|parts| self.is_quarantined(parts));
+        let prompts = quarantined.into_iter().chain(others).take(MAX_UPDATES_PER_ROUND);
         prompts.map(|parts| (*key, parts.clone())).collect()
     }
 
--- a/crates/routing/src/crash_records.rs
+++ b/crates/routing/src/crash_records.rs
@@ -68,8 +68,14 @@
 #[derive(Debug)]
 struct Loss {
     run: UpstreamRun,
-    at: Instant,
-    suspects: Vec<Suspect>,
+    /// Requests during which the connection was lost, and when.
+    suspects: BTreeMap<Suspect, Instant>,
+}
+
+impl Loss {
+    fn last(&self) -> Option<Instant> {
+        self.suspects.values().max().copied()
+    }
 }
 
 /// Crashes, what is quarantined because of them, and losses that may turn out to be crashes.
@@ -98,16 +104,15 @@
     pub fn record_loss(&mut self, now: Instant, run: UpstreamRun, suspect: Suspect) -> bool {
         let key = run.crash_key();
         if !self.losses.contains_key(&key) && self.losses.len() >= MAX_LOSSES {
-            let oldest = self.losses.iter().min_by_key(|(_, loss)| loss.at);
+            let oldest = self.losses.iter().min_by_key(|(_, loss)| loss.last());
             if let Some(oldest) = oldest.map(|(key, _)| *key) {
                 self.losses.remove(&oldest);
             }
         }
         let is_first = !self.losses.contains_key(&key);
-        let loss = self.losses.entry(key).or_insert(Loss { run, at: now, suspects: Vec::new() });
-        loss.at = now;
-        if loss.suspects.len() < MAX_SUSPECTS_PER_LOSS && !loss.suspects.contains(&suspect) {
-            loss.suspects.push(suspect);
+        let loss = self.losses.entry(key).or_insert(Loss { run, suspects: BTreeMap::new() });
+        if loss.suspects.len() < MAX_SUSPECTS_PER_LOSS || loss.suspects.contains_key(&suspect) {
+            loss.suspects.insert(suspect, now);
         }
         is_first
     }
@@ -129,7 +134,7 @@
         let key = run.crash_key();
         let Some(loss) = self.losses.remove(&key) else { return false };
         let mut is_changed = false;
-        for suspect in loss.suspects {
+        for suspect in loss.suspects.into_keys() {
             is_changed |= self.prompts.record_crash(now, key, &suspect.prompt);
             is_changed |= self.requests.record_crash(now, key, &[suspect.request].into());
         }
@@ -176,7 +181,10 @@
     /// Forgets crashes and losses that no longer count; returns whether this changed what is
     /// quarantined.
     pub fn expire(&mut self, now: Instant) -> bool {
-        self.losses.retain(|_, loss| now < loss.at + EVIDENCE_TIMEOUT);
+        self.losses.retain(|_, loss| {
+            loss.suspects.retain(|_, at| now < *at + EVIDENCE_TIMEOUT);
+            !loss.suspects.is_empty()
+        });
         let is_changed = self.prompts.expire(now);
         self.requests.expire(now) || is_changed
     }
--- a/crates/routing/tests/crash_records.rs
+++ b/crates/routing/tests/crash_records.rs
@@ -83,3 +83,51 @@
     records.apply_states(later, |_| RunState::Restarted);
     assert!(!is_quarantined(&records));
 }
+
+/// A request that was lost long before the crash is not put down to it because others were lost since.
+#[rstest]
+fn losses_of_other_requests_do_not_renew_an_earlier_one() {
+    let mut records = CrashRecords::default();
+    let mut now = Instant::now();
+    for upstream in 0..3 {
+        records.record_loss(now, run(upstream), suspect());
+    }
+    for _ in 0..3 {
+        now += EVIDENCE_TIMEOUT / 2;
+        for upstream in 0..3 {
+            let other = Suspect { prompt: [].into(), request: REQUEST + 1 };
+            records.record_loss(now, run(upstream), other);
+        }
+        records.expire(now);
+    }
+    records.apply_states(now, |_| RunState::Restarted);
+    assert!(!is_quarantined(&records));
+    assert!(records.requests.is_quarantined(&[REQUEST + 1].into()));
+}
+
+/// Guards against nodes that restart and send a crashing request on, because other requests that were
+/// lost in the same crashes are repeated to them instead.
+#[rstest]
+fn quarantined_request_is_the_first_that_restarted_nodes_learn_of() {
+    let start = Instant::now();
+    let mut records = CrashRecords::default();
+    for upstream in 0..3 {
+        let now = start + Duration::from_secs(upstream as u64);
+        for other in 0..20 {
+            let request = 1_000 * upstream as u64 + other;
+            records.record_loss(now, run(upstream), Suspect { prompt: [].into(), request });
+        }
+        let crashing = Suspect { prompt: [].into(), request: u64::MAX };
+        records.record_loss(now, run(upstream), crashing);
+        records.record_crash(now, &run(upstream));
+    }
+    let mut now = start + Duration::from_secs(10);
+    while !records.requests.next_updates(now).crashes.is_empty() {}
+    let mut restarted = CrashRecords::default();
+    for _ in 0..4 {
+        now += Duration::from_secs(1);
+        let updates = records.requests.next_updates(now);
+        restarted.apply(now, Default::default(), updates);
+    }
+    assert!(restarted.requests.is_quarantined(&[u64::MAX].into()));
+}
--- a/crates/serving/src/proxy/crashes.rs
+++ b/crates/serving/src/proxy/crashes.rs
@@ -8,7 +8,7 @@
         directory::Upstream,
         request::Request,
     },
-    std::{sync::Arc, time::Duration},
+    std::{iter, sync::Arc, time::Duration},
     tokio::time::sleep,
     turmerictack_model::{
         digest::hash64,
@@ -18,9 +18,8 @@
     turmerictack_telemetry::logs,
 };
 
-/// Pauses between the checks whether an upstream whose connection was lost refuses connections.
-///
-/// The last one is within the time for which a loss is kept.
+/// Pauses between the checks whether an upstream whose connection was lost refuses connections; the
+/// last one is repeated while a loss is kept.
 const CRASH_CHECK_DELAYS: [Duration; 3] =
     [Duration::from_millis(250), Duration::from_millis(750), Duration::from_secs(2)];
 
@@ -117,7 +116,8 @@
     fn watch_for_crash(self: &Arc<Self>, run: UpstreamRun, address: Address) {
         let proxy = Arc::clone(self);
         tokio::spawn(async move {
-            for delay in CRASH_CHECK_DELAYS {
+            let [.., last_delay] = CRASH_CHECK_DELAYS;
+            for delay in CRASH_CHECK_DELAYS.into_iter().chain(iter::repeat(last_delay)) {
                 sleep(delay).await;
                 let is_open = proxy.tables.crashes.lock().has_loss(&run);
                 if !is_open || proxy.detect_crash(&run, &address).await {
