Share the list of nodes between the tests of heartbeats

lost_peers wrote again what heartbeats.rs had: a fixed list of nodes and their addresses. Both use the one in tests/common now.

--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -21,8 +21,8 @@
         config::{Account, Config, EngineProfile, Limits, RetryPolicy, Route, Service},
         directory::{EngineState, Instance},
         interfaces::{
-            EventChunk, ResponseBody, SendError, SendReport, UpstreamClient, UpstreamNotice,
-            UpstreamResponse,
+            EventChunk, NodeList, ResponseBody, SendError, SendReport, UpstreamClient,
+            UpstreamNotice, UpstreamResponse,
         },
         proxy::Proxy,
         request::{RawRequest, Request, ResponseHead, UpstreamRequest},
@@ -330,3 +330,23 @@
         }),
     }
 }
+
+/// The platform's list of nodes, with this many of them.
+pub struct FixedNodeList(pub usize);
+
+#[async_trait]
+impl NodeList for FixedNodeList {
+    async fn addresses(&self) -> Option<Vec<Address>> {
+        Some(addresses(self.0))
+    }
+}
+
+/// Addresses of nodes.
+pub fn addresses(nodes: usize) -> Vec<Address> {
+    (0..nodes).map(address).collect()
+}
+
+/// Address of one node.
+pub fn address(at: usize) -> Address {
+    format!("10.0.{}.{}:1", at / 250, at % 250)
+}
--- a/crates/serving/tests/heartbeats.rs
+++ b/crates/serving/tests/heartbeats.rs
@@ -7,7 +7,7 @@
 use {
     async_trait::async_trait,
     bytes::Bytes,
-    common::tables,
+    common::{FixedNodeList, addresses, tables},
     rstest::rstest,
     std::{
         collections::BTreeMap,
@@ -20,7 +20,7 @@
     turmerictack_serving::{
         directory::upstream_key,
         heartbeat::{HeartbeatExchange, NodeIdentity},
-        interfaces::{NodeList, PeerTransport},
+        interfaces::PeerTransport,
         load::LoadTracker,
         membership::{LeaderStatus, PeerTable},
     },
@@ -47,19 +47,6 @@
     }
 }
 
-struct FixedNodeList(usize);
-
-#[async_trait]
-impl NodeList for FixedNodeList {
-    async fn addresses(&self) -> Option<Vec<Address>> {
-        Some(addresses(self.0))
-    }
-}
-
-fn addresses(nodes: usize) -> Vec<Address> {
-    (0..nodes).map(|at| format!("10.0.{}.{}:1", at / 250, at % 250)).collect()
-}
-
 #[rstest]
 #[tokio::test]
 async fn heartbeats_sent_by_a_node_do_not_grow_with_the_cluster(
--- a/crates/serving/tests/lost_peers.rs
+++ b/crates/serving/tests/lost_peers.rs
@@ -7,7 +7,7 @@
 use {
     async_trait::async_trait,
     bytes::Bytes,
-    common::tables,
+    common::{FixedNodeList, address, tables},
     rstest::rstest,
     std::{
         collections::VecDeque,
@@ -26,7 +26,7 @@
     turmerictack_serving::{
         directory::upstream_key,
         heartbeat::{HeartbeatExchange, NodeIdentity},
-        interfaces::{NodeList, PeerTransport},
+        interfaces::PeerTransport,
         tables::Tables,
     },
 };
@@ -61,19 +61,6 @@
     }
 }
 
-struct FixedNodeList(usize);
-
-#[async_trait]
-impl NodeList for FixedNodeList {
-    async fn addresses(&self) -> Option<Vec<Address>> {
-        Some((0..self.0).map(address).collect())
-    }
-}
-
-fn address(at: usize) -> Address {
-    format!("10.0.{}.{}:1", at / 250, at % 250)
-}
-
 fn heartbeat(at: usize, incarnation: u64, in_flight: u16) -> Heartbeat {
     let load = |upstream: &str| HeartbeatLoad {
         upstream: upstream_key(upstream),
