Name the requests that a planned stop cuts in the log

A table of the requests in flight (rank Calls) now has the route, the time of receipt, the stage (queued, sent, streaming), the last event and the upstream of each. No logic changes.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod flap_damping;
 pub mod group_controller;
 pub mod heartbeat;
+pub mod in_flight;
 pub mod interfaces;
 pub mod load;
 pub mod membership;
--- a/crates/serving/src/proxy/context.rs
+++ b/crates/serving/src/proxy/context.rs
@@ -5,6 +5,7 @@
     crate::{
         config::{Account, Route},
         directory::PoolKey,
+        in_flight::InFlightEntry,
         request::{Request, UpstreamRequest},
     },
     std::{
@@ -36,6 +37,7 @@
     pub(crate) account: Option<Account>,
     pub(crate) pool: PoolKey,
     pub(crate) deadline: Instant,
+    pub(crate) in_flight: Arc<InFlightEntry>,
 }
 
 impl RequestContext {
@@ -90,6 +92,7 @@
             account: self.account.clone(),
             pool: self.pool.clone(),
             deadline: self.deadline,
+            in_flight: Arc::clone(&self.in_flight),
         }
     }
 }
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -15,6 +15,7 @@
         config::{Access, Account, Config, Route},
         config_state::KeyFreshness,
         directory::PoolKey,
+        in_flight::{InFlightEntry, RequestInFlight, Stage},
         interfaces::UpstreamClient,
         load::UpstreamOutcome,
         rejection::{Reason, Rejection, retry_after},
@@ -89,6 +90,19 @@
         }
     }
 
+    /// Enters a request in the table of requests in flight.
+    fn register(&self, request: &Request, route: &Route) -> Arc<InFlightEntry> {
+        let entry = RequestInFlight {
+            request: request.id.clone(),
+            route: route.id.clone(),
+            received_at: request.received_at,
+            stage: Stage::Queued,
+            upstream: None,
+            last_event: None,
+        };
+        Arc::new(InFlightEntry::insert(&self.tables, entry))
+    }
+
     fn prepare(&self, request: Request) -> Result<RequestContext, Box<(Request, Rejection)>> {
         let Some(config) = self.tables.config() else {
             let rejection =
@@ -101,7 +115,10 @@
                     request.client_timeout.unwrap_or(route.timeout).min(route.timeout);
                 let deadline = request.received_at + client_timeout;
                 match self.deadline_before_stop(deadline, client_timeout) {
-                    Ok(deadline) => Ok(RequestContext { request, route, account, pool, deadline }),
+                    Ok(deadline) => {
+                        let in_flight = self.register(&request, &route);
+                        Ok(RequestContext { request, route, account, pool, deadline, in_flight })
+                    }
                     Err(rejection) => Err(Box::new((request, rejection))),
                 }
             }
@@ -182,7 +199,7 @@
                 Ok(permit) => permit,
                 Err(rejection) => return self.fail(&context, &attempts, failure, rejection),
             };
-            attempts.record_send(self.send_record(&context, &permit));
+            self.record_send(&context, &mut attempts, &permit);
             let upstream = Arc::clone(&permit.upstream);
             let result =
                 self.send(&context, &upstream, &attempts, context.request.resume_after).await;
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -5,6 +5,7 @@
     crate::{
         attempts::{Attempts, SendRecord},
         directory::{PoolKey, Upstream},
+        in_flight::Stage,
         load::UpstreamOutcome,
         queue::{SchedulingParams, Ticket, wait_deadline},
         rejection::{Reason, Rejection},
@@ -126,12 +127,24 @@
         }
     }
 
-    pub(super) fn send_record(&self, context: &RequestContext, permit: &Permit) -> SendRecord {
-        SendRecord {
-            instance: permit.upstream.instance.clone(),
+    pub(super) fn record_send(
+        &self,
+        context: &RequestContext,
+        attempts: &mut Attempts,
+        permit: &Permit,
+    ) {
+        let instance = &permit.upstream.instance;
+        attempts.record_send(SendRecord {
+            instance: instance.clone(),
             in_flight: self.tables.balancer.lock().loads.in_flight(permit.upstream.key),
             elapsed: self.clock.now().saturating_duration_since(context.request.received_at),
-        }
+        });
+        context.in_flight.update(|r| {
+            r.upstream = Some(instance.clone());
+            if r.stage == Stage::Queued {
+                r.stage = Stage::Sent;
+            }
+        });
     }
 
     fn permit(&self, context: &RequestContext, upstream: Arc<Upstream>) -> Permit {
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -144,7 +144,7 @@
         while attempts.can_send_again() && (is_prepaid || self.try_acquire_retry(context)) {
             is_prepaid = false;
             let permit = self.acquire_permit(context, attempts).await.ok()?;
-            attempts.record_send(self.send_record(context, &permit));
+            self.record_send(context, attempts, &permit);
             let upstream = Arc::clone(&permit.upstream);
             match self.send(context, &upstream, attempts, last_event).await {
                 SendResult::Responded(response)
--- a/crates/serving/src/proxy/telemetry.rs
+++ b/crates/serving/src/proxy/telemetry.rs
@@ -6,6 +6,7 @@
         attempts::Attempts,
         config_state::KeyFreshness,
         directory::Upstream,
+        in_flight::Stage,
         interfaces::SendError,
         rejection::{Reason, Rejection},
         request::Request,
@@ -126,6 +127,25 @@
         event.info();
     }
 
+    /// Logs the requests that end incomplete because the node stops; returns how many there are.
+    pub fn record_cut_requests(&self) -> usize {
+        let now = self.clock.now();
+        let in_flight = self.tables.in_flight.lock();
+        for request in in_flight.iter() {
+            let age = now.saturating_duration_since(request.received_at);
+            logs::event("request_cut")
+                .with("request", &request.request)
+                .with("route", &request.route)
+                .with("stage", request.stage)
+                .with("head_sent", request.stage == Stage::Streaming)
+                .with("last_event", request.last_event.unwrap_or(0))
+                .with("upstream", request.upstream.as_deref().unwrap_or("-"))
+                .with("elapsed_ms", age.as_millis())
+                .warn();
+        }
+        in_flight.iter().count()
+    }
+
     pub(super) fn elapsed_ms(&self, context: &RequestContext) -> u128 {
         self.clock.now().saturating_duration_since(context.request.received_at).as_millis()
     }
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         attempts::Attempts,
+        in_flight::Stage,
         interfaces::{EventChunk, ResponseBody, SendError},
         load::UpstreamOutcome,
         proxy::{Permit, Proxy, RequestContext, STALL_CHECK, outcome_of},
@@ -66,6 +67,10 @@
         let last_progress = proxy.clock.now();
         let last_event = first.last_event.or(context.request.resume_after);
         let buffered = Some(first.bytes);
+        context.in_flight.update(|r| {
+            r.stage = Stage::Streaming;
+            r.last_event = last_event;
+        });
         Self {
             proxy,
             context,
@@ -154,6 +159,7 @@
             return Accepted::Overlapping;
         }
         self.last_event = events.last_event.or(self.last_event);
+        self.context.in_flight.update(|r| r.last_event = self.last_event);
         self.awaits_resumed_events = false;
         Accepted::New(events.bytes)
     }
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -5,6 +5,7 @@
         config::Config,
         config_state::{ConfigState, KeyFreshness},
         directory::{Directory, PoolKey, Upstream},
+        in_flight::RequestsInFlight,
         load::{LoadTracker, Selection, UpstreamOutcome},
         membership::PeerTable,
         queue::{Admission, Queues, SchedulingParams, Ticket},
@@ -80,6 +81,8 @@
     pub balancer: Table<Balancer>,
     /// Queued requests.
     pub queues: Table<Queues<Waiter>>,
+    /// Requests in flight.
+    pub in_flight: Table<RequestsInFlight>,
     /// Crashes of upstreams, and what is quarantined because of them.
     pub crashes: Table<CrashRecords>,
     /// Budget for retries.
@@ -117,6 +120,7 @@
             directory: Table::new(LockRank::Groups, Directory::default()),
             balancer: Table::new(LockRank::Upstreams, balancer),
             queues: Table::new(LockRank::Admission, Queues::new()),
+            in_flight: Table::new(LockRank::Calls, RequestsInFlight::default()),
             crashes: Table::new(LockRank::Crashes, CrashRecords::default()),
             retry_budget: Table::new(LockRank::RetryBudget, RetryBudget::new(retry_budget)),
             lifecycle: Table::new(LockRank::Lifecycle, Lifecycle::default()),
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -19,6 +19,7 @@
     },
     turmerictack_serving::{
         directory::Instance,
+        in_flight::Stage,
         interfaces::{SendError, StatedLoad, UpstreamNotice},
         proxy::Proxy,
         rejection::{ExecutionStatus, Reason, Rejection},
@@ -732,3 +733,29 @@
     );
     assert!(Instant::now() < stops_at);
 }
+
+/// Guards against requests that wait in a queue, or have been sent, and are cut without a name in
+/// the log.
+#[rstest]
+#[tokio::test]
+async fn requests_in_flight_are_listed_with_their_stage() {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::Hang);
+    let running: Vec<_> = (0..7)
+        .map(|_| {
+            let proxy = Arc::clone(&proxy);
+            tokio::spawn(async move { proxy.serve(request("notes")).await })
+        })
+        .collect();
+    sleep(Duration::from_millis(50)).await;
+    let stages: Vec<Stage> = tables.in_flight.lock().iter().map(|r| r.stage).collect();
+    assert_eq!(stages.iter().filter(|s| **s == Stage::Sent).count(), 6);
+    assert_eq!(stages.iter().filter(|s| **s == Stage::Queued).count(), 1);
+    assert_eq!(proxy.record_cut_requests(), 7);
+    for request in running {
+        request.abort();
+    }
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(proxy.record_cut_requests(), 0);
+}
