Answer requests sent before a planned stop, and keep the deadline of streams

What callers saw: a request that was sent before SIGTERM and whose upstream hangs was cut at the end of the grace period, although its client still waited.

Cause: the end of the stop was made a part of the deadline once, on arrival. So it did not bind requests that had arrived before, and it went on to bind streams whose head had been sent, which no final response can replace.

Change: the time left is computed at each wait. Upstreams get the request's own deadline.

--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -25,10 +25,7 @@
     bytes::Bytes,
     cadence::StatsdClient,
     rand::RngExt as _,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     turmerictack_model::{clock::Clock, ids::DataCentre},
 };
 
@@ -114,31 +111,37 @@
                 let client_timeout =
                     request.client_timeout.unwrap_or(route.timeout).min(route.timeout);
                 let deadline = request.received_at + client_timeout;
-                match self.deadline_before_stop(deadline, client_timeout) {
-                    Ok(deadline) => {
-                        let in_flight = self.register(&request, &route);
-                        Ok(RequestContext { request, route, account, pool, deadline, in_flight })
-                    }
-                    Err(rejection) => Err(Box::new((request, rejection))),
+                if let Err(rejection) = self.check_time_to_stop(client_timeout) {
+                    return Err(Box::new((request, rejection)));
                 }
+                let in_flight = self.register(&request, &route);
+                Ok(RequestContext { request, route, account, pool, deadline, in_flight })
             }
             Err(rejection) => Err(Box::new((request, rejection))),
         }
     }
 
-    /// Deadline of a request that arrives now, which is earlier while the node shuts down, so that the
-    /// request gets a response before its connection ends.
-    fn deadline_before_stop(
-        &self,
-        deadline: Instant,
-        client_timeout: Duration,
-    ) -> Result<Instant, Rejection> {
-        let Some(stops_at) = self.tables.lifecycle.lock().stops_at else { return Ok(deadline) };
+    /// Rejects a request that arrives too late in a shutdown.
+    fn check_time_to_stop(&self, client_timeout: Duration) -> Result<(), Rejection> {
+        let Some(stops_at) = self.tables.lifecycle.lock().stops_at else { return Ok(()) };
         let needed = client_timeout.min(LATE_REQUEST_TIME) + FINAL_RESPONSE_TIME;
         if self.clock.now() + needed > stops_at {
             return Err(Rejection::not_executed(Reason::Stopping, MIN_RETRY_AFTER));
         }
-        Ok(deadline.min(stops_at - FINAL_RESPONSE_TIME))
+        Ok(())
+    }
+
+    /// Time left until the client gets a final response, which is due before the node ends its
+    /// connections; a stream that has begun keeps its deadline, since it can't be answered again.
+    pub(crate) fn remaining_time(&self, context: &RequestContext, attempts: &Attempts) -> Duration {
+        let stops_at = self.tables.lifecycle.lock().stops_at;
+        let deadline = match stops_at {
+            Some(stops_at) if attempts.first_event().is_none() => {
+                context.deadline.min(stops_at - FINAL_RESPONSE_TIME)
+            }
+            _ => context.deadline,
+        };
+        deadline.saturating_duration_since(self.clock.now())
     }
 
     fn resolve(
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -5,7 +5,7 @@
     crate::{
         attempts::{Attempts, NextStep},
         directory::Upstream,
-        interfaces::{SendError, UpstreamNotice, UpstreamResponse},
+        interfaces::{ResponseBody, SendError, UpstreamNotice, UpstreamResponse},
         load::{OVERLOAD_COOLDOWN, UNREACHABLE_COOLDOWN, UpstreamOutcome},
         rejection::Reason,
         request::{Reply, ResponseHead},
@@ -48,7 +48,7 @@
             self.upstream_client.send(&upstream.instance, &upstream.address, upstream_request);
         let may_fail_over = context.route.is_streaming && context.route.is_retryable();
         loop {
-            let remaining = context.deadline.saturating_duration_since(self.clock.now());
+            let remaining = self.remaining_time(context, attempts);
             if remaining.is_zero() {
                 return SendResult::DeadlineExceeded;
             }
@@ -183,7 +183,7 @@
         let upstream = Arc::clone(&permit.upstream);
         let UpstreamResponse { head, mut body, .. } = response;
         loop {
-            let remaining = context.deadline.saturating_duration_since(self.clock.now());
+            let remaining = self.remaining_time(context, attempts);
             if remaining.is_zero() {
                 attempts.record_execution(&upstream.instance);
                 return Err(NextStep::Fail(attempts.rejection(Reason::Deadline)));
@@ -245,15 +245,14 @@
     ) -> Result<Reply, NextStep> {
         let upstream = Arc::clone(&permit.upstream);
         let UpstreamResponse { head, is_success, mut body, .. } = response;
-        let remaining = context.deadline.saturating_duration_since(self.clock.now());
-        let body = match timeout(remaining, body.read_to_end()).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => {
+        let body = match self.read_body(context, attempts, body.as_mut()).await {
+            Some(Ok(body)) => body,
+            Some(Err(error)) => {
                 self.record_send_failure(context, attempts, &upstream, &error).await;
                 permit.release(outcome_of(&error));
                 return Err(attempts.record_failure(&upstream.instance, &error));
             }
-            Err(_) => {
+            None => {
                 attempts.record_execution(&upstream.instance);
                 return Err(NextStep::Fail(attempts.rejection(Reason::Deadline)));
             }
@@ -278,6 +277,26 @@
             NextStep::Fail(attempts.rejection(Reason::AttemptsUsed))
         })
     }
+
+    /// Reads a complete body; `None` once the time for the response is over.
+    async fn read_body(
+        &self,
+        context: &RequestContext,
+        attempts: &Attempts,
+        body: &mut dyn ResponseBody,
+    ) -> Option<Result<Bytes, SendError>> {
+        let mut reading = body.read_to_end();
+        loop {
+            // A shutdown that begins meanwhile leaves less time.
+            let remaining = self.remaining_time(context, attempts);
+            if remaining.is_zero() {
+                return None;
+            }
+            if let Ok(result) = timeout(remaining.min(STALL_CHECK), &mut reading).await {
+                return Some(result);
+            }
+        }
+    }
 }
 
 /// What a failed send says about the health of its upstream.
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -5,7 +5,10 @@
 mod common;
 
 use {
-    common::{ScriptedAction, StreamEnd, proxy, proxy_with_clock, request, restart_heads, tables},
+    common::{
+        ScriptedAction, ScriptedUpstreams, StreamEnd, proxy, proxy_with_clock, request,
+        restart_heads, tables,
+    },
     rstest::rstest,
     std::{
         collections::BTreeSet,
@@ -759,3 +762,67 @@
     sleep(Duration::from_millis(50)).await;
     assert_eq!(proxy.record_cut_requests(), 0);
 }
+
+/// Serves requests, so that the node knows how long responses of the route take.
+async fn warm_up(proxy: &Arc<Proxy>, upstreams: &ScriptedUpstreams, route: &str) {
+    let is_stream = route == "notes";
+    upstreams.set_default(if is_stream {
+        ScriptedAction::Stream { last: 1, end: StreamEnd::Complete }
+    } else {
+        ScriptedAction::Respond(200, "done")
+    });
+    for _ in 0..10 {
+        if is_stream {
+            assert_eq!(read_stream(proxy, route).await.1, Ok(()));
+        } else {
+            assert!(matches!(proxy.serve(request(route)).await, Reply::Complete { .. }));
+        }
+    }
+}
+
+/// Guards against requests that were sent before a planned stop, hang, and are cut off at its end.
+#[rstest]
+#[tokio::test]
+async fn request_sent_before_a_planned_stop_gets_a_response_before_its_end(
+    #[values("book", "look", "notes")] route: &str,
+) {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    upstreams.set_default(ScriptedAction::Hang);
+    let serving = {
+        let (proxy, request) = (Arc::clone(&proxy), request(route));
+        tokio::spawn(async move { proxy.serve(request).await })
+    };
+    sleep(Duration::from_millis(50)).await;
+    let stops_at = Instant::now() + Duration::from_millis(700);
+    tables.lifecycle.lock().stops_at = Some(stops_at);
+    let reply = timeout(Duration::from_millis(700), serving).await;
+    let Ok(Ok(Reply::Rejected(rejection))) = reply else { panic!("no response in time") };
+    assert_eq!(rejection.execution, ExecutionStatus::Unknown);
+    assert!(rejection.is_timeout());
+}
+
+/// Guards against streams that end before the node does, although their deadline is later.
+#[rstest]
+#[tokio::test]
+async fn stream_that_has_begun_keeps_its_deadline_in_a_planned_stop() {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    warm_up(&proxy, &upstreams, "notes").await;
+    upstreams.set_default(ScriptedAction::Stream { last: 2, end: StreamEnd::Stalled });
+    let stops_at = Instant::now() + Duration::from_millis(2_500);
+    tables.lifecycle.lock().stops_at = Some(stops_at);
+    let request = request("notes");
+    let deadline = request.received_at + Duration::from_secs(4);
+    let Reply::Stream { mut events, .. } = proxy.serve(request).await else { panic!("no stream") };
+    assert_eq!(upstreams.sent.lock().unwrap().last().unwrap().1.deadline, deadline);
+    let ended = loop {
+        let left = stops_at.saturating_duration_since(Instant::now());
+        match timeout(left, events.next()).await {
+            Ok(Ok(Some(_))) => {}
+            Ok(end) => break Some(end),
+            Err(_) => break None,
+        }
+    };
+    assert_eq!(ended, None, "the stream ended before the node");
+}
