Keep a silent stream until another upstream has taken it over

What callers saw: a head, some events, and a closed connection, while the worker was alive and only paused.

Cause: a stream left a silent upstream (its response was dropped) before it had a place elsewhere. The check before that took any slot for free, also those that the placement then reserves for requests that are on time, so that the stream was queued, or refused for its predicted wait, and ended. It ended as well when the other upstream was full, gone or failing.

Change: the old response is read on while another upstream is looked for, and is dropped once that one has responded. If none does, the stream stays. A retry is taken from the budget only with the place in hand. A stream that has begun is placed without the reserve, and may wait until its deadline; an unanswered request leaves only where its own placement would succeed.

--- a/crates/serving/src/attempts.rs
+++ b/crates/serving/src/attempts.rs
@@ -23,6 +23,7 @@
     sends: u32,
     executions: u32,
     failed_upstreams: Vec<InstanceId>,
+    leaving: Option<InstanceId>,
     last_send: Option<SendRecord>,
     first_event: Option<Duration>,
     is_answered: bool,
@@ -59,6 +60,7 @@
             sends: 0,
             executions: 0,
             failed_upstreams: Vec::new(),
+            leaving: None,
             last_send: None,
             first_event: None,
             is_answered: false,
@@ -119,13 +121,27 @@
 
     /// Whether the request may be moved away from an upstream that may have started executing it.
     pub fn can_fail_over(&self) -> bool {
+        let running = u32::from(self.leaving.is_none());
         self.retryable
-            && self.executions + 1 < self.max_executions
+            && self.executions + running < self.max_executions
             && self.sends < self.max_executions + EXTRA_SENDS
     }
 
+    /// Counts the execution at an upstream that may still succeed, while the request looks for
+    /// another upstream.
+    pub fn begin_leaving(&mut self, instance: &InstanceId) {
+        if self.leaving.as_ref() != Some(instance) {
+            self.record_execution(instance);
+            self.leaving = Some(instance.clone());
+        }
+    }
+
     /// Counts an execution that may have started at an upstream and did not succeed.
     pub fn record_execution(&mut self, instance: &InstanceId) {
+        if self.leaving.as_ref() == Some(instance) {
+            self.leaving = None;
+            return;
+        }
         self.executions += 1;
         self.failed_upstreams.push(instance.clone());
     }
--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -183,17 +183,19 @@
         own_rate * ages.sum::<Duration>().as_secs_f64()
     }
 
-    /// Whether a healthy upstream that is not excluded can take another request.
+    /// Whether a healthy upstream that is not excluded can take another request that leaves
+    /// `reserved_share` of its slots free.
     pub fn has_capacity(
         &self,
         now: Instant,
         upstreams: &[Arc<Upstream>],
         excluded: &[InstanceId],
+        reserved_share: f64,
     ) -> bool {
         upstreams
             .iter()
             .filter(|u| !excluded.contains(&u.instance) && self.is_healthy(now, u))
-            .any(|u| self.score(now, u, "", 0.0, 1.0).is_some())
+            .any(|u| self.score(now, u, "", reserved_share, 1.0).is_some())
     }
 
     /// Load score of an upstream, lower being better; `None` if it is full.
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -92,26 +92,41 @@
         }
     }
 
-    async fn wait_for_permit(
+    pub(super) fn scheduling_params(
         &self,
+        now: Instant,
         context: &RequestContext,
         attempts: &Attempts,
-    ) -> Result<Permit, Rejection> {
-        let now = self.clock.now();
-        let latest_send = self.latest_send(context, attempts)?;
+    ) -> SchedulingParams {
         let elapsed = context.prior_elapsed();
         let is_client_retry = elapsed > MIN_CLIENT_RETRY_AGE;
-        let first_received_at =
-            context.request.received_at.checked_sub(elapsed).unwrap_or(context.request.received_at);
+        let received_at = context.request.received_at;
         let median_response = self.tables.balancer.lock().response_times.median(&context.pool);
-        let params = SchedulingParams {
+        let dispatch_by = received_at.checked_sub(elapsed).unwrap_or(received_at)
+            + context.route.latency_target.saturating_sub(median_response);
+        // A stream that has begun has met its target, and can't be rejected any more.
+        let (dispatch_by, expires_at) = match attempts.first_event() {
+            Some(_) => (context.deadline, context.deadline),
+            None => (dispatch_by, wait_deadline(now, context.deadline, is_client_retry)),
+        };
+        SchedulingParams {
             priority: context.priority(),
             is_client_retry,
-            dispatch_by: first_received_at
-                + context.route.latency_target.saturating_sub(median_response),
-            expires_at: wait_deadline(now, context.deadline, is_client_retry).min(latest_send),
+            dispatch_by,
+            expires_at,
             prompt_tokens: context.request.prompt_tokens,
-        };
+        }
+    }
+
+    async fn wait_for_permit(
+        &self,
+        context: &RequestContext,
+        attempts: &Attempts,
+    ) -> Result<Permit, Rejection> {
+        let now = self.clock.now();
+        let latest_send = self.latest_send(context, attempts)?;
+        let mut params = self.scheduling_params(now, context, attempts);
+        params.expires_at = params.expires_at.min(latest_send);
         let excluded = attempts.failed_upstreams();
         let placement = self.tables.place(now, &context.pool, params, excluded, &self.data_centre);
         let (ticket, assigned) = match placement {
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -98,12 +98,18 @@
         upstream: &Upstream,
         attempts: &Attempts,
     ) -> bool {
-        self.try_leave(context, upstream, attempts, false)
+        let leave = self.should_leave(context, upstream, attempts, false)
+            && self.latest_send(context, attempts).is_ok()
+            && self.try_acquire_retry(context);
+        if leave {
+            self.record_stall(context, upstream);
+        }
+        leave
     }
 
-    /// Like [`Self::try_leave_stalled`]; `has_stalled` if the stream of this request has, whatever
-    /// the others at the upstream do.
-    pub(crate) fn try_leave(
+    /// Whether another upstream should take a request over; `has_stalled` if the stream of this
+    /// request has stalled, whatever the others at the upstream do.
+    pub(crate) fn should_leave(
         &self,
         context: &RequestContext,
         upstream: &Upstream,
@@ -112,20 +118,26 @@
     ) -> bool {
         let now = self.clock.now();
         let excluded = attempts.failed_upstreams();
-        let leave = attempts.can_fail_over()
-            && self.latest_send(context, attempts).is_ok()
-            && self.tables.should_fail_over(now, &context.pool, upstream, excluded, has_stalled)
-            && self.try_acquire_retry(context);
-        if leave {
-            let _ = self.metrics.count("streams.stalled", 1);
-            logs::event("upstream_stalled")
-                .with("request", &context.request.id)
-                .with("upstream", &upstream.instance)
-                .with("group", upstream.group.as_deref().unwrap_or("-"))
-                .with("elapsed_ms", self.elapsed_ms(context))
-                .info();
-        }
-        leave
+        let reserved_share = self.scheduling_params(now, context, attempts).reserved_share(now);
+        attempts.can_fail_over()
+            && self.tables.should_fail_over(
+                now,
+                &context.pool,
+                upstream,
+                excluded,
+                reserved_share,
+                has_stalled,
+            )
+    }
+
+    pub(crate) fn record_stall(&self, context: &RequestContext, upstream: &Upstream) {
+        let _ = self.metrics.count("streams.stalled", 1);
+        logs::event("upstream_stalled")
+            .with("request", &context.request.id)
+            .with("upstream", &upstream.instance)
+            .with("group", upstream.group.as_deref().unwrap_or("-"))
+            .with("elapsed_ms", self.elapsed_ms(context))
+            .info();
     }
 
     pub(super) fn after_stall(&self, attempts: &mut Attempts, upstream: &Upstream) -> NextStep {
@@ -139,12 +151,14 @@
         context: &RequestContext,
         attempts: &mut Attempts,
         last_event: Option<EventPosition>,
-        is_prepaid: bool,
     ) -> Option<ActiveStream> {
-        let mut is_prepaid = is_prepaid;
-        while attempts.can_send_again() && (is_prepaid || self.try_acquire_retry(context)) {
-            is_prepaid = false;
+        let mut is_prepaid = false;
+        while attempts.can_send_again() {
             let permit = self.acquire_permit(context, attempts).await.ok()?;
+            if !is_prepaid && !self.try_acquire_retry(context) {
+                return None;
+            }
+            is_prepaid = false;
             self.record_send(context, attempts, &permit);
             let upstream = Arc::clone(&permit.upstream);
             match self.send(context, &upstream, attempts, last_event).await {
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -100,49 +100,77 @@
             let Some(active) = &mut self.active else {
                 return Err(StreamError::UpstreamLost);
             };
-            match timeout(remaining.min(STALL_CHECK), active.body.next_events()).await {
-                Ok(Ok(Some(events))) => match self.accept(events) {
+            let events = match timeout(remaining.min(STALL_CHECK), active.body.next_events()).await
+            {
+                Ok(events) => events,
+                Err(_) if self.should_leave() => match self.replace_upstream().await {
+                    Some(events) => events,
+                    None => continue,
+                },
+                Err(_) => continue,
+            };
+            match events {
+                Ok(Some(events)) => match self.accept(events) {
                     Accepted::New(bytes) => return Ok(Some(bytes)),
                     Accepted::Known => {}
                     // They can't be told apart any more, so another upstream has to go on.
                     Accepted::Overlapping => {
                         let error = SendError::InvalidResponse;
-                        self.fail_over(outcome_of(&error), false).await?;
+                        self.fail_over(outcome_of(&error)).await?;
                     }
                 },
                 // An upstream that resumes a stream without any event may have failed itself, so the
                 // stream can't be taken for complete.
-                Ok(Ok(None)) if self.awaits_resumed_events => {
-                    let upstream = Arc::clone(&active.permit.upstream);
-                    let error = SendError::ConnectionLost;
-                    self.proxy
-                        .record_send_failure(&self.context, &self.attempts, &upstream, &error)
-                        .await;
-                    self.fail_over(outcome_of(&error), false).await?;
+                Ok(None) if self.awaits_resumed_events => {
+                    self.handle_failure(&SendError::ConnectionLost).await?;
                 }
-                Ok(Ok(None)) => {
+                Ok(None) => {
                     self.finish();
                     return Ok(None);
                 }
-                Ok(Err(error)) => {
-                    let upstream = Arc::clone(&active.permit.upstream);
-                    self.proxy
-                        .record_send_failure(&self.context, &self.attempts, &upstream, &error)
-                        .await;
-                    self.fail_over(outcome_of(&error), false).await?;
-                }
-                Err(_) => {
-                    let upstream = Arc::clone(&active.permit.upstream);
-                    let gap = self.proxy.clock.now().saturating_duration_since(self.last_progress);
-                    let has_stalled = gap >= self.context.max_event_gap();
-                    if self.proxy.try_leave(&self.context, &upstream, &self.attempts, has_stalled) {
-                        self.fail_over(UpstreamOutcome::Stalled, true).await?;
-                    }
-                }
+                Err(error) => self.handle_failure(&error).await?,
             }
         }
     }
 
+    async fn handle_failure(&mut self, error: &SendError) -> Result<(), StreamError> {
+        if let Some(active) = &self.active {
+            let upstream = Arc::clone(&active.permit.upstream);
+            self.proxy.record_send_failure(&self.context, &self.attempts, &upstream, error).await;
+        }
+        self.fail_over(outcome_of(error)).await
+    }
+
+    /// Whether the upstream is silent, and another should take the stream over.
+    fn should_leave(&self) -> bool {
+        let Some(active) = &self.active else { return false };
+        let gap = self.proxy.clock.now().saturating_duration_since(self.last_progress);
+        let has_stalled = gap >= self.context.max_event_gap();
+        let upstream = &active.permit.upstream;
+        self.proxy.should_leave(&self.context, upstream, &self.attempts, has_stalled)
+    }
+
+    /// Looks for another upstream while the silent one may still go on; returns what comes from
+    /// there first. Without another upstream the stream stays where it is.
+    async fn replace_upstream(&mut self) -> Option<Result<Option<EventChunk>, SendError>> {
+        let silent = self.active.as_mut()?;
+        let upstream = Arc::clone(&silent.permit.upstream);
+        self.attempts.begin_leaving(&upstream.instance);
+        let next = tokio::select! {
+            biased;
+            events = silent.body.next_events() => return Some(events),
+            next = self.proxy.resume(&self.context, &mut self.attempts, self.last_event) => next?,
+        };
+        self.proxy.record_stall(&self.context, &upstream);
+        if let Some(silent) = self.active.take() {
+            self.attempts.record_execution(&upstream.instance);
+            drop(silent.body);
+            silent.permit.release(UpstreamOutcome::Stalled);
+        }
+        self.go_on_with(next);
+        None
+    }
+
     /// Records progress, and compares events with those that the client already has.
     fn accept(&mut self, events: EventChunk) -> Accepted {
         let now = self.proxy.clock.now();
@@ -164,13 +192,8 @@
         Accepted::New(events.bytes)
     }
 
-    /// Resumes the stream at another upstream or ends it; `is_prepaid` if the retry has already
-    /// been taken from the budget.
-    async fn fail_over(
-        &mut self,
-        outcome: UpstreamOutcome,
-        is_prepaid: bool,
-    ) -> Result<(), StreamError> {
+    /// Resumes the stream at another upstream or ends it.
+    async fn fail_over(&mut self, outcome: UpstreamOutcome) -> Result<(), StreamError> {
         let Some(active) = self.active.take() else { return Err(StreamError::UpstreamLost) };
         self.attempts.record_execution(&active.permit.upstream.instance);
         drop(active.body);
@@ -178,26 +201,26 @@
         if !self.context.route.is_retryable() {
             return Err(self.abort(StreamError::UpstreamLost));
         }
-        match self
-            .proxy
-            .resume(&self.context, &mut self.attempts, self.last_event, is_prepaid)
-            .await
-        {
+        match self.proxy.resume(&self.context, &mut self.attempts, self.last_event).await {
             Some(next) => {
-                logs::event("stream_resumed")
-                    .with("request", &self.context.request.id)
-                    .with("upstream", &next.permit.upstream.instance)
-                    .with("after_event", self.last_event.unwrap_or(0))
-                    .info();
-                self.active = Some(next);
-                self.awaits_resumed_events = true;
-                self.last_progress = self.proxy.clock.now();
+                self.go_on_with(next);
                 Ok(())
             }
             None => Err(self.abort(StreamError::UpstreamLost)),
         }
     }
 
+    fn go_on_with(&mut self, next: ActiveStream) {
+        logs::event("stream_resumed")
+            .with("request", &self.context.request.id)
+            .with("upstream", &next.permit.upstream.instance)
+            .with("after_event", self.last_event.unwrap_or(0))
+            .info();
+        self.active = Some(next);
+        self.awaits_resumed_events = true;
+        self.last_progress = self.proxy.clock.now();
+    }
+
     fn finish(&mut self) {
         if let Some(active) = self.active.take() {
             active.permit.record_duration();
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -278,13 +278,14 @@
     }
 
     /// Whether an upstream, or the stream of one request there, is stalled while another upstream can
-    /// take a request.
+    /// take a request that leaves `reserved_share` of the slots free.
     pub fn should_fail_over(
         &self,
         now: Instant,
         pool: &PoolKey,
         upstream: &Upstream,
         excluded: &[InstanceId],
+        reserved_share: f64,
         has_stalled: bool,
     ) -> bool {
         let pools = Arc::clone(self.directory.lock().pools());
@@ -293,7 +294,7 @@
         let excluded: Vec<InstanceId> =
             excluded.iter().chain([&upstream.instance]).cloned().collect();
         (has_stalled || balancer.loads.is_stalled(now, upstream.key))
-            && balancer.loads.has_capacity(now, upstreams, &excluded)
+            && balancer.loads.has_capacity(now, upstreams, &excluded, reserved_share)
     }
 
     /// Removes a request from its queue.
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -44,6 +44,8 @@
     Respond(u16, &'static str),
     /// Streams events, starting after the requested position, up to `last`, and ends as given.
     Stream { last: u64, end: StreamEnd },
+    /// Streams events like `Stream`, and pauses once after an event.
+    PausedStream { last: u64, pause_after: u64, pause: Duration },
     /// Streams events from `first`, whatever was requested, `per_chunk` at a time.
     StreamFrom { first: u64, last: u64, per_chunk: u64 },
     /// Never responds.
@@ -93,6 +95,9 @@
     last: u64,
     per_chunk: u64,
     end: StreamEnd,
+    /// Event after which the stream pauses, and for how long.
+    pause: Option<(u64, Duration)>,
+    resumes_at: Option<Instant>,
     text: Option<&'static str>,
     open_bodies: Arc<Mutex<i64>>,
 }
@@ -106,6 +111,13 @@
 #[async_trait]
 impl ResponseBody for ScriptedBody {
     async fn next_events(&mut self) -> Result<Option<EventChunk>, SendError> {
+        if let Some((after, pause)) = self.pause
+            && self.next > after
+        {
+            let resumes_at = *self.resumes_at.get_or_insert_with(|| Instant::now() + pause);
+            tokio::time::sleep_until(resumes_at.into()).await;
+            self.pause = None;
+        }
         if self.next > self.last {
             return match self.end {
                 StreamEnd::Complete => Ok(None),
@@ -155,7 +167,7 @@
             scripts.get_mut(instance).and_then(VecDeque::pop_front)
         };
         let action = scripted.or(self.default.lock().unwrap().clone());
-        let mut per_chunk = 1;
+        let (mut per_chunk, mut paused) = (1, None);
         let (status, body) = match action {
             Some(ScriptedAction::Fail(error)) => return SendReport { result: Err(error), notice },
             Some(ScriptedAction::Hang) | None => return std::future::pending().await,
@@ -166,6 +178,11 @@
                 per_chunk = events;
                 (200, (first, last, StreamEnd::Complete, None))
             }
+            Some(ScriptedAction::PausedStream { last, pause_after, pause }) => {
+                paused = Some((pause_after, pause));
+                let first = resume_after.map_or(0, |after| after + 1);
+                (200, (first, last, StreamEnd::Complete, None))
+            }
             Some(ScriptedAction::Stream { last, end }) => {
                 (200, (resume_after.map_or(0, |after| after + 1), last, end, None))
             }
@@ -173,7 +190,16 @@
         *self.open_bodies.lock().unwrap() += 1;
         let (next, last, end, text) = body;
         let open_bodies = Arc::clone(&self.open_bodies);
-        let body = ScriptedBody { next, last, per_chunk, end, text, open_bodies };
+        let body = ScriptedBody {
+            next,
+            last,
+            per_chunk,
+            end,
+            pause: paused,
+            resumes_at: None,
+            text,
+            open_bodies,
+        };
         let response = UpstreamResponse {
             head: ResponseHead {
                 status: StatusCode::from_u16(status).unwrap(),
