--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -12,7 +12,10 @@
     derive_more::Error,
     displaydoc::Display,
     http::StatusCode,
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time::timeout,
     turmerictack_model::ids::EventPosition,
     turmerictack_telemetry::logs,
@@ -97,19 +100,11 @@
             if remaining.is_zero() {
                 return Err(self.abort(StreamError::DeadlineExceeded));
             }
-            let Some(active) = &mut self.active else {
+            if self.active.is_none() {
                 return Err(StreamError::UpstreamLost);
-            };
-            let events = match timeout(remaining.min(STALL_CHECK), active.body.next_events()).await
-            {
-                Ok(events) => events,
-                Err(_) if self.should_leave() => match self.replace_upstream().await {
-                    Some(events) => events,
-                    None => continue,
-                },
-                Err(_) => continue,
-            };
-            match events {
+            }
+            let Some(received) = self.receive(remaining.min(STALL_CHECK)).await else { continue };
+            match received {
                 Ok(Some(events)) => match self.accept(events) {
                     Accepted::New(bytes) => return Ok(Some(bytes)),
                     Accepted::Known => {}
@@ -133,6 +128,16 @@
         }
     }
 
+    /// Waits for events for a while; `None` if none have arrived.
+    async fn receive(&mut self, limit: Duration) -> Option<Result<Option<EventChunk>, SendError>> {
+        let active = self.active.as_mut()?;
+        match timeout(limit, active.body.next_events()).await {
+            Ok(received) => Some(received),
+            Err(_) if self.should_leave() => self.replace_upstream().await,
+            Err(_) => None,
+        }
+    }
+
     async fn handle_failure(&mut self, error: &SendError) -> Result<(), StreamError> {
         if let Some(active) = &self.active {
             let upstream = Arc::clone(&active.permit.upstream);
