--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -46,6 +46,10 @@
     Stream { last: u64, end: StreamEnd },
     /// Streams events like `Stream`, and pauses once after an event.
     PausedStream { last: u64, pause_after: u64, pause: Duration },
+    /// Streams events like `Stream`, and pauses after each of them.
+    HaltingStream { last: u64, pause: Duration },
+    /// Streams events like `Stream`, but responds only after a delay.
+    SlowStream { last: u64, delay: Duration },
     /// Streams events from `first`, whatever was requested, `per_chunk` at a time.
     StreamFrom { first: u64, last: u64, per_chunk: u64 },
     /// Never responds.
@@ -98,6 +102,8 @@
     /// Event after which the stream pauses, and for how long.
     pause: Option<(u64, Duration)>,
     resumes_at: Option<Instant>,
+    /// Whether it pauses after each further event too.
+    is_halting: bool,
     text: Option<&'static str>,
     open_bodies: Arc<Mutex<i64>>,
 }
@@ -116,7 +122,8 @@
         {
             let resumes_at = *self.resumes_at.get_or_insert_with(|| Instant::now() + pause);
             tokio::time::sleep_until(resumes_at.into()).await;
-            self.pause = None;
+            self.resumes_at = None;
+            self.pause = self.pause.filter(|_| self.is_halting).map(|(_, p)| (self.next, p));
         }
         if self.next > self.last {
             return match self.end {
@@ -167,7 +174,7 @@
             scripts.get_mut(instance).and_then(VecDeque::pop_front)
         };
         let action = scripted.or(self.default.lock().unwrap().clone());
-        let (mut per_chunk, mut paused) = (1, None);
+        let (mut per_chunk, mut paused, mut is_halting) = (1, None, false);
         let (status, body) = match action {
             Some(ScriptedAction::Fail(error)) => return SendReport { result: Err(error), notice },
             Some(ScriptedAction::Hang) | None => return std::future::pending().await,
@@ -183,6 +190,16 @@
                 let first = resume_after.map_or(0, |after| after + 1);
                 (200, (first, last, StreamEnd::Complete, None))
             }
+            Some(ScriptedAction::HaltingStream { last, pause }) => {
+                (paused, is_halting) = (Some((0, pause)), true);
+                let first = resume_after.map_or(0, |after| after + 1);
+                (200, (first, last, StreamEnd::Complete, None))
+            }
+            Some(ScriptedAction::SlowStream { last, delay }) => {
+                tokio::time::sleep(delay).await;
+                let first = resume_after.map_or(0, |after| after + 1);
+                (200, (first, last, StreamEnd::Complete, None))
+            }
             Some(ScriptedAction::Stream { last, end }) => {
                 (200, (resume_after.map_or(0, |after| after + 1), last, end, None))
             }
@@ -197,6 +214,7 @@
             end,
             pause: paused,
             resumes_at: None,
+            is_halting,
             text,
             open_bodies,
         };
