--- a/crates/serving/tests/take_over.rs
+++ b/crates/serving/tests/take_over.rs
@@ -18,6 +18,7 @@
     turmerictack_model::ids::InstanceId,
     turmerictack_serving::{
         config::{Config, RetryPolicy},
+        load::UpstreamOutcome,
         proxy::Proxy,
         request::Reply,
         stream::{EventStream, StreamError},
@@ -149,3 +150,35 @@
     assert!(tables.update_config(revoked));
     assert!(matches!(serving.await.unwrap(), Reply::Stream { .. }));
 }
+
+/// Guards against broken streams that wait behind every request that arrives later.
+#[rstest]
+#[tokio::test]
+async fn broken_stream_is_placed_before_requests_that_arrive_later() {
+    let tables = tables();
+    let (proxy, upstreams) = proxy(&tables);
+    let breaks = ScriptedAction::Stream { last: 2, end: StreamEnd::ConnectionLost };
+    let mut events = start_stream(&proxy, &upstreams, breaks).await;
+    let first = upstreams.sent.lock().unwrap()[0].0.clone();
+    let pools = Arc::clone(tables.directory.lock().pools());
+    let heads: Vec<_> = pools.values().flatten().filter(|u| u.instance.starts_with('e')).collect();
+    for head in &heads {
+        for _ in 0..3 {
+            tables.balancer.lock().loads.acquire(Instant::now(), head, 0);
+        }
+    }
+    let other = heads.iter().find(|u| u.instance != first).unwrap().key;
+    upstreams.set_default(ScriptedAction::Stream { last: 5, end: StreamEnd::Complete });
+    let reading = tokio::spawn(async move { read(&mut events).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let later = {
+        let proxy = Arc::clone(&proxy);
+        tokio::spawn(async move { proxy.serve(request("notes")).await })
+    };
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    tables.balancer.lock().loads.release(Instant::now(), other, UpstreamOutcome::Success);
+    tables.dispatch_all_waiting(Instant::now());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!later.is_finished(), "the later request was placed first");
+    assert_eq!(reading.await.unwrap(), (whole_stream(5), Ok(())));
+}
