Count the executions of a stream that another upstream takes over

What callers saw: a silent stream whose replacement needs over 450 ms for its first event stayed without any until its deadline, if a third upstream had room; and a stream that paused again and again was sent to a further upstream each time, four where its route allows two (BUDGET).

While a stream looked for another upstream, the send that was under way there did not count as running, so that even the last permitted upstream was left; and a send that was dropped because the silent upstream had gone on was never counted as an execution.

Change: executions are kept by upstream, and the latest send counts as running until its result does. One that is awaited no longer counts as an execution.

--- a/crates/serving/src/attempts.rs
+++ b/crates/serving/src/attempts.rs
@@ -21,9 +21,11 @@
     retryable: bool,
     max_executions: u32,
     sends: u32,
-    executions: u32,
+    /// Upstreams that may have executed the request.
+    executed_by: Vec<InstanceId>,
     failed_upstreams: Vec<InstanceId>,
-    leaving: Option<InstanceId>,
+    /// Upstream of the latest send, until its result counts.
+    pending: Option<InstanceId>,
     last_send: Option<SendRecord>,
     first_event: Option<Duration>,
     is_answered: bool,
@@ -58,9 +60,9 @@
             retryable,
             max_executions,
             sends: 0,
-            executions: 0,
+            executed_by: Vec::new(),
             failed_upstreams: Vec::new(),
-            leaving: None,
+            pending: None,
             last_send: None,
             first_event: None,
             is_answered: false,
@@ -79,12 +81,13 @@
 
     /// Whether any upstream may have executed the request.
     pub fn may_have_executed(&self) -> bool {
-        self.executions > 0
+        !self.executed_by.is_empty()
     }
 
     /// Counts a send and remembers its destination.
     pub fn record_send(&mut self, last_send: SendRecord) {
         self.sends += 1;
+        self.pending = Some(last_send.instance.clone());
         self.last_send = Some(last_send);
     }
 
@@ -116,39 +119,42 @@
 
     /// Whether the limits on executions and sends allow another send.
     pub fn can_send_again(&self) -> bool {
-        self.executions < self.max_executions && self.sends < self.max_executions + EXTRA_SENDS
+        self.executions() < self.max_executions && self.sends < self.max_executions + EXTRA_SENDS
     }
 
-    /// Whether the request may be moved away from an upstream that may have started executing it.
+    fn executions(&self) -> u32 {
+        u32::try_from(self.executed_by.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether the request may be moved away from the upstreams that may have started executing it.
     pub fn can_fail_over(&self) -> bool {
-        let running = u32::from(self.leaving.is_none());
+        let is_running = |pending: &InstanceId| !self.executed_by.contains(pending);
+        let running = u32::from(self.pending.as_ref().is_some_and(is_running));
         self.retryable
-            && self.executions + running < self.max_executions
+            && self.executions() + running < self.max_executions
             && self.sends < self.max_executions + EXTRA_SENDS
     }
 
-    /// Counts the execution at an upstream that may still succeed, while the request looks for
-    /// another upstream.
-    pub fn begin_leaving(&mut self, instance: &InstanceId) {
-        if self.leaving.as_ref() != Some(instance) {
-            self.record_execution(instance);
-            self.leaving = Some(instance.clone());
+    /// Counts an execution that may have started at an upstream; it counts once for each upstream.
+    pub fn record_execution(&mut self, instance: &InstanceId) {
+        self.pending.take_if(|pending| pending == instance);
+        if !self.executed_by.contains(instance) {
+            self.executed_by.push(instance.clone());
+            self.failed_upstreams.push(instance.clone());
         }
     }
 
-    /// Counts an execution that may have started at an upstream and did not succeed.
-    pub fn record_execution(&mut self, instance: &InstanceId) {
-        if self.leaving.as_ref() == Some(instance) {
-            self.leaving = None;
-            return;
+    /// Counts the execution of the latest send, if its result is awaited no longer.
+    pub fn abandon_pending(&mut self) {
+        if let Some(pending) = self.pending.take() {
+            self.record_execution(&pending);
         }
-        self.executions += 1;
-        self.failed_upstreams.push(instance.clone());
     }
 
     /// Records a failed send and decides the next step.
     pub fn record_failure(&mut self, instance: &InstanceId, error: &SendError) -> NextStep {
         if error.is_not_executed() {
+            self.pending.take_if(|pending| pending == instance);
             self.failed_upstreams.push(instance.clone());
         } else {
             self.record_execution(instance);
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -160,15 +160,18 @@
     async fn replace_upstream(&mut self) -> Option<Result<Option<EventChunk>, SendError>> {
         let silent = self.active.as_mut()?;
         let upstream = Arc::clone(&silent.permit.upstream);
-        self.attempts.begin_leaving(&upstream.instance);
+        // It may still succeed, but no other upstream may execute the request in its place.
+        self.attempts.record_execution(&upstream.instance);
         let next = tokio::select! {
             biased;
-            events = silent.body.next_events() => return Some(events),
+            events = silent.body.next_events() => {
+                self.attempts.abandon_pending();
+                return Some(events);
+            }
             next = self.proxy.resume(&self.context, &mut self.attempts, self.last_event) => next?,
         };
         self.proxy.record_stall(&self.context, &upstream);
         if let Some(silent) = self.active.take() {
-            self.attempts.record_execution(&upstream.instance);
             drop(silent.body);
             silent.permit.release(UpstreamOutcome::Stalled);
         }
