Let a stream leave a silent upstream only for events of another

What callers saw: a stream whose upstream had only paused ended at its deadline, because it had gone over to another one that sent a response head and then nothing.

Cause: the silent upstream was given up for a bare response head, which says nothing about the events.

Change: the silent response is read on until the other upstream has sent events. One that sends none within the longest gap between events is given up if the request may be executed elsewhere.

--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod permit;
 mod send;
+mod take_over;
 mod telemetry;
 
 pub(crate) use self::{context::RequestContext, permit::Permit, send::outcome_of};
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -155,20 +155,20 @@
         self.proxy.should_leave(&self.context, upstream, &self.attempts, has_stalled)
     }
 
-    /// Looks for another upstream while the silent one may still go on; returns what comes from
-    /// there first. Without another upstream the stream stays where it is.
+    /// Lets another upstream take the stream over, unless the silent one goes on first; returns what
+    /// has been received. The stream stays where it is if no other upstream sends events.
     async fn replace_upstream(&mut self) -> Option<Result<Option<EventChunk>, SendError>> {
         let silent = self.active.as_mut()?;
         let upstream = Arc::clone(&silent.permit.upstream);
         // It may still succeed, but no other upstream may execute the request in its place.
         self.attempts.record_execution(&upstream.instance);
-        let next = tokio::select! {
+        let (next, events) = tokio::select! {
             biased;
             events = silent.body.next_events() => {
                 self.attempts.abandon_pending();
                 return Some(events);
             }
-            next = self.proxy.resume(&self.context, &mut self.attempts, self.last_event) => next?,
+            next = self.proxy.take_over(&self.context, &mut self.attempts, self.last_event) => next?,
         };
         self.proxy.record_stall(&self.context, &upstream);
         if let Some(silent) = self.active.take() {
@@ -176,7 +176,7 @@
             silent.permit.release(UpstreamOutcome::Stalled);
         }
         self.go_on_with(next);
-        None
+        Some(Ok(Some(events)))
     }
 
     /// Records progress, and compares events with those that the client already has.
