--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -48,6 +48,8 @@
     PausedStream { last: u64, pause_after: u64, pause: Duration },
     /// Streams events like `Stream`, and pauses after each of them.
     HaltingStream { last: u64, pause: Duration },
+    /// Streams events like `Stream`, pauses after the last one, and loses the connection.
+    BreakingStream { last: u64, pause: Duration },
     /// Streams events like `Stream`, but responds only after a delay.
     SlowStream { last: u64, delay: Duration },
     /// Streams events from `first`, whatever was requested, `per_chunk` at a time.
@@ -195,6 +197,11 @@
                 let first = resume_after.map_or(0, |after| after + 1);
                 (200, (first, last, StreamEnd::Complete, None))
             }
+            Some(ScriptedAction::BreakingStream { last, pause }) => {
+                paused = Some((last, pause));
+                let first = resume_after.map_or(0, |after| after + 1);
+                (200, (first, last, StreamEnd::ConnectionLost, None))
+            }
             Some(ScriptedAction::SlowStream { last, delay }) => {
                 tokio::time::sleep(delay).await;
                 let first = resume_after.map_or(0, |after| after + 1);
--- a/crates/serving/tests/take_over.rs
+++ b/crates/serving/tests/take_over.rs
@@ -182,3 +182,18 @@
     assert!(!later.is_finished(), "the later request was placed first");
     assert_eq!(reading.await.unwrap(), (whole_stream(5), Ok(())));
 }
+
+/// Guards against take-overs that start again, elsewhere, when the silent upstream breaks meanwhile.
+#[rstest]
+#[tokio::test]
+async fn take_over_goes_on_when_the_silent_upstream_breaks() {
+    let tables = tables();
+    add_heads(&tables, 3);
+    let (proxy, upstreams) = proxy(&tables);
+    let breaks = ScriptedAction::BreakingStream { last: 2, pause: Duration::from_millis(800) };
+    let mut events = start_stream(&proxy, &upstreams, breaks).await;
+    let delay = Duration::from_millis(400);
+    upstreams.set_default(ScriptedAction::SlowStream { last: 5, delay });
+    assert_eq!(read(&mut events).await, (whole_stream(5), Ok(())));
+    assert_eq!(upstreams.sends(), MAX_ATTEMPTS);
+}
