Place interrupted streams before requests that arrive later

What callers saw: a stream whose upstream broke when all places were taken got the next place only after every request that had arrived in the meantime, and could end at its deadline.

Cause: its latest dispatch time was set to its deadline, so that it would not count as late; requests that can be on time are ordered by that time.

Change: a request whose client already has a part of the response says so and goes first, without the reserve for requests that are on time.

Changed check: the test took any end of the later request for its placement; a request that arrives behind the stream is now rejected for its predicted wait, so the test asks which one was sent first. Test literals got the new field.

--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -104,14 +104,17 @@
         let median_response = self.tables.balancer.lock().response_times.median(&context.pool);
         let dispatch_by = received_at.checked_sub(elapsed).unwrap_or(received_at)
             + context.route.latency_target.saturating_sub(median_response);
-        // A stream that has begun has met its target, and can't be rejected any more.
-        let (dispatch_by, expires_at) = match attempts.first_event() {
-            Some(_) => (context.deadline, context.deadline),
-            None => (dispatch_by, wait_deadline(now, context.deadline, is_client_retry)),
+        let is_resumption = attempts.first_event().is_some();
+        // A response that has begun can't be rejected any more.
+        let expires_at = if is_resumption {
+            context.deadline
+        } else {
+            wait_deadline(now, context.deadline, is_client_retry)
         };
         SchedulingParams {
             priority: context.priority(),
             is_client_retry,
+            is_resumption,
             dispatch_by,
             expires_at,
             prompt_tokens: context.request.prompt_tokens,
--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -38,6 +38,8 @@
     pub priority: u8,
     /// Whether the client is retrying after an earlier rejection.
     pub is_client_retry: bool,
+    /// Whether the client already has a part of the response, which was interrupted.
+    pub is_resumption: bool,
     /// Latest dispatch time that meets the latency target.
     pub dispatch_by: Instant,
     /// Time at which the request is rejected if it is still queued.
@@ -176,7 +178,7 @@
 }
 
 fn is_late(now: Instant, params: &SchedulingParams) -> bool {
-    now > params.dispatch_by
+    !params.is_resumption && now > params.dispatch_by
 }
 
 /// Time to dispatch `count` requests at a rate; zero if the rate is unknown.
@@ -187,12 +189,12 @@
     Duration::from_secs_f64(count as f64 / per_second)
 }
 
-/// Sort key: on-time requests by priority and latest dispatch time; then late ones, retries by
-/// clients first, as these will not be sent again.
+/// Sort key: interrupted responses, whose clients wait for the rest; on-time requests by priority and
+/// latest dispatch time; then late ones, retries by clients first, as these will not be sent again.
 fn sort_key(now: Instant, params: &SchedulingParams) -> (bool, bool, u8, Instant) {
     if is_late(now, params) {
         (true, !params.is_client_retry, params.priority, params.expires_at)
     } else {
-        (false, false, params.priority, params.dispatch_by)
+        (false, !params.is_resumption, params.priority, params.dispatch_by)
     }
 }
--- a/crates/serving/tests/burst.rs
+++ b/crates/serving/tests/burst.rs
@@ -85,6 +85,7 @@
         let params = SchedulingParams {
             priority: 0,
             is_client_retry: false,
+            is_resumption: false,
             dispatch_by: now + LATENCY_TARGET - FIRST_EVENT_LATENCY,
             expires_at: wait_deadline(now, deadline, false),
             prompt_tokens: 0,
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -80,6 +80,7 @@
     let params = |priority, dispatch_by_ms, expires_at_ms| SchedulingParams {
         priority,
         is_client_retry: false,
+        is_resumption: false,
         dispatch_by: now + ms(dispatch_by_ms),
         expires_at: now + ms(expires_at_ms),
         prompt_tokens: 0,
@@ -102,6 +103,7 @@
     let params = SchedulingParams {
         priority: 0,
         is_client_retry: false,
+        is_resumption: false,
         dispatch_by: now + ms(200),
         expires_at: now + ms(1_000),
         prompt_tokens: 0,
--- a/crates/serving/tests/large_cluster.rs
+++ b/crates/serving/tests/large_cluster.rs
@@ -91,6 +91,7 @@
             let params = SchedulingParams {
                 priority: 0,
                 is_client_retry: false,
+                is_resumption: false,
                 dispatch_by: now + Duration::from_millis(100),
                 expires_at: now + Duration::from_millis(1_500),
                 prompt_tokens: 0,
--- a/crates/serving/tests/stalled_group.rs
+++ b/crates/serving/tests/stalled_group.rs
@@ -99,6 +99,7 @@
             let params = SchedulingParams {
                 priority: 0,
                 is_client_retry: false,
+                is_resumption: false,
                 dispatch_by: now + Duration::from_millis(100),
                 expires_at: now + Duration::from_millis(1_500),
                 prompt_tokens: 0,
--- a/crates/serving/tests/take_over.rs
+++ b/crates/serving/tests/take_over.rs
@@ -171,15 +171,14 @@
     upstreams.set_default(ScriptedAction::Stream { last: 5, end: StreamEnd::Complete });
     let reading = tokio::spawn(async move { read(&mut events).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
-    let later = {
-        let proxy = Arc::clone(&proxy);
-        tokio::spawn(async move { proxy.serve(request("notes")).await })
-    };
+    let later = Arc::clone(&proxy);
+    tokio::spawn(async move { later.serve(request("notes")).await });
     tokio::time::sleep(Duration::from_millis(50)).await;
     tables.balancer.lock().loads.release(Instant::now(), other, UpstreamOutcome::Success);
     tables.dispatch_all_waiting(Instant::now());
     tokio::time::sleep(Duration::from_millis(100)).await;
-    assert!(!later.is_finished(), "the later request was placed first");
+    let resumed_after = upstreams.sent.lock().unwrap()[1].1.resume_after;
+    assert_eq!(resumed_after, Some(2), "the later request was placed first");
     assert_eq!(reading.await.unwrap(), (whole_stream(5), Ok(())));
 }
 
