Keep an unanswered request at a silent upstream if it may not be sent again

What callers saw: a 502 after 450 ms for a request whose upstream was only slow, because its key had been revoked or its prompt quarantined in the meantime.

Cause: whether to leave a silent upstream was decided by the places elsewhere; the checks that precede a send came only after the upstream had been left.

Change: both ask the same question, check_send.

--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -79,13 +79,23 @@
         attempts: &Attempts,
     ) -> Result<Permit, Rejection> {
         let permit = self.wait_for_permit(context, attempts).await?;
+        self.check_send(context, attempts)?;
+        Ok(permit)
+    }
+
+    /// Rejects a request that may not be sent now, whatever the load of the upstreams.
+    pub(super) fn check_send(
+        &self,
+        context: &RequestContext,
+        attempts: &Attempts,
+    ) -> Result<(), Rejection> {
         self.latest_send(context, attempts)?;
         if self.is_quarantined(&context.route, context.account.as_ref(), &context.request) {
             let reason = Reason::Quarantined;
             return Err(rejection_after(attempts, reason, QUARANTINE_RETRY_AFTER));
         }
         match self.key_objection(context) {
-            None => Ok(permit),
+            None => Ok(()),
             Some(reason) if attempts.may_have_executed() => Err(Rejection::unknown(reason)),
             Some(Reason::UnknownKey) => Err(Rejection::invalid(Reason::UnknownKey)),
             Some(reason) => Err(Rejection::not_executed(reason, MIN_RETRY_AFTER)),
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -99,7 +99,6 @@
         attempts: &Attempts,
     ) -> bool {
         let leave = self.should_leave(context, upstream, attempts, false)
-            && self.latest_send(context, attempts).is_ok()
             && self.try_acquire_retry(context);
         if leave {
             self.record_stall(context, upstream);
@@ -120,6 +119,7 @@
         let excluded = attempts.failed_upstreams();
         let reserved_share = self.scheduling_params(now, context, attempts).reserved_share(now);
         attempts.can_fail_over()
+            && self.check_send(context, attempts).is_ok()
             && self.tables.should_fail_over(
                 now,
                 &context.pool,
