Tell upstreams that are silent from clients that read nothing

What callers saw: a client that stopped reading made its upstream count as stalled, here and at the peers that were told, so that other clients' requests avoided it and their streams left it.

Cause: an upstream counted as stalled when none of its requests here had received an event for 450 ms, also if they were not reading because their clients did not.

Change: a stream says whether it waits for its upstream or for its client; only the former make an upstream stalled, from the time at which the first of them began to wait.

--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -67,6 +67,9 @@
     /// Prompt tokens of the requests that have had no event yet, of this node and of peers.
     local_unread_tokens: u32,
     peer_unread_tokens: u32,
+    /// Requests of this node that wait for bytes; the others wait for their clients to read.
+    local_waiting: u32,
+    /// Time since which any of them waits.
     busy_since: Instant,
     last_progress: Option<Instant>,
     /// Time at which a request was last moved away because of a stall.
@@ -325,10 +328,8 @@
 
     /// Counts a request sent to an upstream, with the tokens of its prompt.
     pub fn acquire(&mut self, now: Instant, upstream: &Upstream, prompt_tokens: u32) {
+        self.record_wait(now, upstream.key, true);
         let load = self.entry(now, upstream.key);
-        if load.local_in_flight == 0 {
-            load.busy_since = now;
-        }
         load.local_in_flight += 1;
         load.local_unread_tokens = load.local_unread_tokens.saturating_add(prompt_tokens);
         if load.group != upstream.group {
@@ -340,6 +341,19 @@
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
 
+    /// Records that a request waits for bytes of its upstream, or no longer does.
+    pub fn record_wait(&mut self, now: Instant, key: UpstreamKey, is_waiting: bool) {
+        let load = self.entry(now, key);
+        if !is_waiting {
+            load.local_waiting = load.local_waiting.saturating_sub(1);
+            return;
+        }
+        if load.local_waiting == 0 {
+            load.busy_since = now;
+        }
+        load.local_waiting += 1;
+    }
+
     /// Counts a prompt as read, because its first event has arrived or its request has ended.
     pub fn record_prompt_read(&mut self, key: UpstreamKey, prompt_tokens: u32) {
         if let Some(load) = self.by_key.get_mut(&key) {
@@ -357,10 +371,12 @@
         load.local_unread_tokens.saturating_add(peers)
     }
 
-    /// Counts the end of a request and applies its outcome to the upstream's health.
+    /// Counts the end of a request, which counts as waiting, and applies its outcome to the upstream's
+    /// health.
     pub fn release(&mut self, now: Instant, key: UpstreamKey, outcome: UpstreamOutcome) {
         let load = self.entry(now, key);
         load.local_in_flight = load.local_in_flight.saturating_sub(1);
+        load.local_waiting = load.local_waiting.saturating_sub(1);
         match outcome {
             UpstreamOutcome::Success => {
                 load.failures.record(now, false);
@@ -402,6 +418,7 @@
             peer_in_flight: 0,
             local_unread_tokens: 0,
             peer_unread_tokens: 0,
+            local_waiting: 0,
             busy_since: now,
             last_progress: None,
             stalled_at: None,
--- a/crates/serving/src/load/stalls.rs
+++ b/crates/serving/src/load/stalls.rs
@@ -38,14 +38,14 @@
 }
 
 impl LoadTracker {
-    /// Whether this node has requests at the upstream, and neither it nor a peer has received an
+    /// Whether requests of this node wait for the upstream, and neither it nor a peer has received an
     /// event from the upstream within the stall timeout.
     pub fn is_stalled(&self, now: Instant, key: UpstreamKey) -> bool {
         let Some(load) = self.by_key.get(&key) else { return false };
         let last_activity =
             load.last_progress.map_or(load.busy_since, |at| at.max(load.busy_since));
         let peer_last_activity = load.peer_last_progress.unwrap_or(last_activity);
-        load.local_in_flight > 0
+        load.local_waiting > 0
             && now >= last_activity + STALL_TIMEOUT
             && now >= peer_last_activity + STALL_TIMEOUT
     }
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -29,6 +29,8 @@
     pool: PoolKey,
     pub(crate) upstream: Arc<Upstream>,
     outcome: UpstreamOutcome,
+    /// Whether the request waits for its upstream, and not for its client to read.
+    is_waiting: bool,
     acquired_at: Instant,
     /// Prompt tokens that the upstream has to read before the first event.
     unread_tokens: u32,
@@ -50,6 +52,15 @@
         self.tables.balancer.lock().response_durations.record(&self.pool, elapsed);
     }
 
+    /// Records whether the request waits for its upstream, and not for its client to read.
+    pub(crate) fn set_waiting(&mut self, is_waiting: bool) {
+        if self.is_waiting != is_waiting {
+            self.is_waiting = is_waiting;
+            let now = self.clock.now();
+            self.tables.balancer.lock().loads.record_wait(now, self.upstream.key, is_waiting);
+        }
+    }
+
     pub(crate) fn release(mut self, outcome: UpstreamOutcome) {
         self.outcome = outcome;
     }
@@ -57,6 +68,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.set_waiting(true);
         let now = self.clock.now();
         {
             let mut balancer = self.tables.balancer.lock();
@@ -214,6 +226,7 @@
             pool: context.pool.clone(),
             upstream,
             outcome: UpstreamOutcome::Inconclusive,
+            is_waiting: true,
             acquired_at: self.clock.now(),
             unread_tokens: context.request.prompt_tokens,
         }
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -64,9 +64,10 @@
         proxy: Arc<Proxy>,
         context: RequestContext,
         attempts: Attempts,
-        active: ActiveStream,
+        mut active: ActiveStream,
         first: EventChunk,
     ) -> Self {
+        active.permit.set_waiting(false);
         let last_progress = proxy.clock.now();
         let last_event = first.last_event.or(context.request.resume_after);
         let buffered = Some(first.bytes);
@@ -94,6 +95,23 @@
         if let Some(first) = self.buffered.take() {
             return Ok(Some(first));
         }
+        self.set_waiting(true);
+        let next = self.next_unseen().await;
+        if matches!(next, Ok(Some(_))) {
+            self.set_waiting(false);
+        }
+        next
+    }
+
+    /// Records whether the stream waits for its upstream, and not for its client to read.
+    fn set_waiting(&mut self, is_waiting: bool) {
+        if let Some(active) = &mut self.active {
+            active.permit.set_waiting(is_waiting);
+        }
+    }
+
+    /// Waits for events that the client does not have yet.
+    async fn next_unseen(&mut self) -> Result<Option<Bytes>, StreamError> {
         loop {
             let now = self.proxy.clock.now();
             let remaining = self.context.deadline.saturating_duration_since(now);
