Add rate limits that upstreams state to the interface of the core

Upstreams state in their responses how many requests a second they take from all nodes together, and nothing in the core can hold that. `UpstreamNotice` gets a `StatedLimit` that tells apart a response that can't be trusted, one that states no limit, which lifts an earlier one, and one that states a `RequestRate`.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod outcome;
 pub mod pool;
 pub mod rank;
+pub mod rate;
 pub mod rendezvous;
 pub mod table;
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -10,7 +10,10 @@
     displaydoc::Display,
     std::time::Duration,
     turmerictack_groups::{formation::Order, plan::Plan},
-    turmerictack_model::ids::{Address, EventPosition, InstanceId, Version},
+    turmerictack_model::{
+        ids::{Address, EventPosition, InstanceId, Version},
+        rate::RequestRate,
+    },
 };
 
 /// Failure of an upstream to respond to a request.
@@ -87,6 +90,18 @@
     pub slots: u32,
 }
 
+/// Rate limit that an upstream states in a response, for the requests of all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedLimit {
+    /// There is no response of this upstream that could state one.
+    #[default]
+    Unknown,
+    /// The response states no limit, which lifts an earlier one.
+    Unlimited,
+    /// The upstream takes this many requests per second.
+    Limited(RequestRate),
+}
+
 /// What an upstream states about itself in a response, whatever its status.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamNotice {
@@ -96,6 +111,8 @@
     pub pause: Option<Duration>,
     /// Its load when it sent the response head.
     pub load: Option<StatedLoad>,
+    /// Its rate limit.
+    pub rate_limit: StatedLimit,
 }
 
 /// Result of sending a request.
