Decide what a node may send under a rate limit stated to all nodes

An upstream states the requests a second that it takes from all nodes together; the sum has to hold without a coordinator.

Every node derives the same senders for each limited run of an upstream, by rendezvous hashing over the live nodes, evenly over the upstreams. Idle senders may all send at the same moment, so their number is bound by what the limit allows beyond the rate. The rate is divided among them by the demand that they report; a share grows only once all peers know of the demand. A node spends its share through a bucket of one token, which starts at a different level at each sender and empty at one that becomes a sender later. Besides, the requests that all nodes report are counted, for the time in which nodes disagree about the senders.

The part of the rate that belongs to registered nodes that are not live lies idle, so two parts of a cluster that lose each other stay within the rate together.

--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -29,6 +29,30 @@
     pub stalled: bool,
 }
 
+/// Rate limit that an upstream stated to the sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HeartbeatStatement {
+    /// Requests in a thousand seconds; `None` if the upstream stated that it has no limit.
+    pub rate_thousandths: Option<u32>,
+    /// Time since the statement, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What the sender knows of a rate-limited upstream, and its use of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HeartbeatLimit {
+    /// Upstream.
+    pub upstream: UpstreamKey,
+    /// Start time of the upstream's process, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Latest statement of the upstream to the sender, unless another one replaced it.
+    pub statement: Option<HeartbeatStatement>,
+    /// Requests that the sender sent in the last four seconds.
+    pub recent_sends: u16,
+    /// Requests that the sender got for the upstream, in a thousand seconds.
+    pub demand_thousandths: u32,
+}
+
 /// Request or prompt that may have crashed its upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct HeartbeatCrash {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod proxy;
 pub mod queue;
+pub mod rate_limits;
 pub mod rejection;
 pub mod relay;
 pub mod request;
