Send no request that the rate limit of its upstream doesn't allow

An upstream without a token now is no candidate, like one that is full: for first sends, retries, resumes and fail-overs, which all take a token with their slot. A request that leaves its queue at the moment it gets a slot gives the token back.

Where all upstreams that could take a request are limited, its wait follows from this node's shares and the requests ahead of it, not from the dispatches of the last two seconds. A request that can't wait so long is rejected at once, with that time as its retry delay and the reason rate_limited in the log and in the counter requests.refused.

--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -1,6 +1,7 @@
 //! Requests in flight at each upstream, over all nodes, and the choice between upstreams.
 
 mod failures;
+mod pauses;
 mod peers;
 mod stalls;
 
@@ -11,6 +12,7 @@
         flap_damping::FlapDamping,
         interfaces::StatedLoad,
         membership::heartbeat_round,
+        rate_limits::RateLimits,
         spread::{SendRate, choose_below_level},
     },
     rand::Rng,
@@ -39,9 +41,6 @@
 /// Time for which a load that an upstream stated is used, at least.
 const MIN_STATED_LOAD_TIME: Duration = Duration::from_millis(50);
 
-/// Longest pause that an upstream may ask for.
-const MAX_PAUSE: Duration = Duration::from_secs(3_600);
-
 /// Number of unread prompt tokens that count as much as a request in flight.
 ///
 /// An engine reads prompts between the tokens of the streams that it writes, so unread prompts delay
@@ -130,6 +129,8 @@
     instances: BTreeMap<UpstreamKey, InstanceId>,
     peer_loads: BTreeMap<NodeId, PeerLoads>,
     suspects: BTreeMap<InstanceId, Instant>,
+    /// Rate limits that upstreams state.
+    pub rate_limits: RateLimits,
 }
 
 impl LoadTracker {
@@ -201,7 +202,8 @@
             .any(|u| self.score(now, u, "", reserved_share, 1.0).is_some())
     }
 
-    /// Load score of an upstream, lower being better; `None` if it is full.
+    /// Load score of an upstream, lower being better; `None` if it is full or its rate limit allows
+    /// no request now.
     ///
     /// What peers have sent since their latest heartbeats is not known here, so each of them is
     /// assumed to have sent as many requests as this node has since its last but one round of them.
@@ -214,6 +216,9 @@
         reserved_share: f64,
         slowdown: f64,
     ) -> Option<f64> {
+        if !self.rate_limits.may_send(now, upstream) {
+            return None;
+        }
         let unreported = self
             .by_key
             .get(&upstream.key)
@@ -251,37 +256,6 @@
             || self.paused_until(upstream).is_some_and(|until| now < until)
     }
 
-    /// End of the pause that this run of an upstream asked for.
-    fn paused_until(&self, upstream: &Upstream) -> Option<Instant> {
-        let (started_ms, until) = self.by_key.get(&upstream.key)?.pause?;
-        (started_ms == upstream.started_ms).then_some(until)
-    }
-
-    /// Sends an upstream no requests for a while, because it asked for that.
-    pub fn pause(&mut self, now: Instant, upstream: &Upstream, pause: Duration) {
-        let until = now + pause.min(MAX_PAUSE);
-        let load = self.entry(now, upstream.key);
-        let current = load.pause.filter(|(started_ms, _)| *started_ms == upstream.started_ms);
-        let until = current.map_or(until, |(_, current)| current.max(until));
-        load.pause = Some((upstream.started_ms, until));
-    }
-
-    /// Time at which the first of these upstreams takes requests again, if all of them have asked
-    /// for a pause.
-    pub fn earliest_resume(
-        &self,
-        now: Instant,
-        upstreams: &[Arc<Upstream>],
-        excluded: &[InstanceId],
-    ) -> Option<Instant> {
-        let mut earliest: Option<Instant> = None;
-        for upstream in upstreams.iter().filter(|u| !excluded.contains(&u.instance)) {
-            let until = self.paused_until(upstream).filter(|until| now < *until)?;
-            earliest = Some(earliest.map_or(until, |at| at.min(until)));
-        }
-        earliest
-    }
-
     fn is_healthy(&self, now: Instant, upstream: &Upstream) -> bool {
         if self.is_cooling_down(now, upstream)
             || self.is_stalled(now, upstream.key)
@@ -338,6 +312,7 @@
             load.flaps = FlapDamping::default();
         }
         load.send_rate.record_send(now);
+        self.rate_limits.record_send(now, upstream);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
 
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -3,7 +3,7 @@
 use {
     crate::relay::source::RelayCandidate,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
     turmerictack_model::{
@@ -195,6 +195,17 @@
         1 + self.peers.values().filter(|p| self.is_alive(now, p)).count()
     }
 
+    /// Peers that are alive.
+    pub fn live_peers(&self, now: Instant) -> BTreeSet<NodeId> {
+        let alive = self.peers.iter().filter(|(_, p)| self.is_alive(now, p));
+        alive.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// Number of nodes on the platform's list.
+    pub fn registered_count(&self) -> usize {
+        self.registered.len()
+    }
+
     fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
         let is_frequent = peer.last_gap.is_some_and(|gap| gap <= FREQUENT_HEARTBEAT);
         let timeout = if is_frequent { MIN_HEARTBEAT_TIMEOUT } else { self.heartbeat_timeout() };
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -158,7 +158,9 @@
             Placement::Assigned(upstream) => return Ok(self.permit(context, upstream)),
             Placement::Queued(ticket, assigned) => (ticket, assigned),
             Placement::WaitTooLong(wait) => {
-                return Err(rejection_after(attempts, Reason::PredictedWait, wait));
+                let is_limited = self.tables.is_rate_limited(now, &context.pool, excluded);
+                let reason = if is_limited { Reason::RateLimited } else { Reason::PredictedWait };
+                return Err(rejection_after(attempts, reason, wait));
             }
             Placement::Unavailable => {
                 let reason =
@@ -260,6 +262,8 @@
         self.proxy.tables.cancel_wait(&self.context.pool, self.ticket);
         // Nothing is assigned once the request has left the queue.
         if let Ok(upstream) = self.assigned.try_recv() {
+            let now = self.proxy.clock.now();
+            self.proxy.tables.balancer.lock().loads.rate_limits.cancel_send(now, &upstream);
             drop(self.proxy.permit(self.context, upstream));
         }
     }
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -81,6 +81,7 @@
         if let Some(load) = notice.load {
             self.tables.balancer.lock().loads.record_stated_load(now, upstream.key, load);
         }
+        self.tables.apply_stated_limit(now, upstream, notice.rate_limit);
         if notice.is_leaving && self.tables.mark_leaving(now, upstream) {
             self.upstream_client.close_idle_connections(&upstream.instance);
             logs::event("upstream_leaving").with("upstream", &upstream.instance).info();
--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -114,12 +114,27 @@
         }
     }
 
+    /// Number of queued requests that would go before a request.
+    pub fn ahead(&self, now: Instant, params: &SchedulingParams) -> usize {
+        let key = sort_key(now, params);
+        self.waiting.values().filter(|(other, _)| sort_key(now, other) <= key).count()
+    }
+
     /// Decides whether a request may be queued, from the requests that would go before it.
     pub fn admit(&self, now: Instant, params: &SchedulingParams) -> Admission {
+        self.admit_for(now, params, self.expected_wait(now, params))
+    }
+
+    /// Decides whether a request may be queued, given the time that it would wait.
+    pub fn admit_for(
+        &self,
+        now: Instant,
+        params: &SchedulingParams,
+        expected_wait: Duration,
+    ) -> Admission {
         if self.waiting.len() >= MAX_QUEUE_LENGTH {
             return Admission::QueueFull;
         }
-        let expected_wait = self.expected_wait(now, params);
         if now + expected_wait > params.expires_at {
             return Admission::WaitTooLong { expected_wait };
         }
--- a/crates/serving/src/rate_limits/mod.rs
+++ b/crates/serving/src/rate_limits/mod.rs
@@ -4,6 +4,7 @@
 //! live nodes and what they report in heartbeats, whether it is one of the senders to the upstream
 //! and what its share of the rate is, and spends the share through a token bucket.
 
+mod apply;
 mod bucket;
 mod limit;
 mod senders;
--- a/crates/serving/src/rejection.rs
+++ b/crates/serving/src/rejection.rs
@@ -22,6 +22,8 @@
     NoUpstream,
     /// predicted_wait
     PredictedWait,
+    /// rate_limited
+    RateLimited,
     /// queue_timeout
     QueueTimeout,
     /// queue_full
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -185,6 +185,8 @@
         let mut balancer = self.balancer.lock();
         let keys: BTreeSet<_> = pools.values().flatten().map(|u| u.key).collect();
         balancer.loads.retain(&|key| keys.contains(&key));
+        let runs = pools.values().flatten().map(|u| (u.key, u.started_ms));
+        balancer.loads.rate_limits.set_listed(now, runs.collect());
         drop(balancer);
         self.update_crashes(|crashes| crashes.apply_states(now, |run| run_state(&directory, run)));
         drop(directory);
@@ -243,6 +245,9 @@
         let mut balancer = self.balancer.lock();
         let mut queues = self.queues.lock();
         let queue = queues.entry(pool.clone()).or_default();
+        if excluded.is_empty() {
+            balancer.loads.rate_limits.record_demand(now, upstreams);
+        }
         if queue.is_empty() || !excluded.is_empty() {
             let Balancer { loads, rng, .. } = &mut *balancer;
             match loads.select(
@@ -266,7 +271,15 @@
         if let Some(resumes_at) = resumes_at.filter(|at| *at > params.expires_at) {
             return Placement::WaitTooLong(resumes_at.saturating_duration_since(now));
         }
-        match queue.admit(now, &params) {
+        let candidates = upstreams.iter().filter(|u| !excluded.contains(&u.instance));
+        let ahead = queue.ahead(now, &params);
+        let limits = &balancer.loads.rate_limits;
+        let limited_wait = limits.expected_wait(now, candidates.map(Arc::as_ref), ahead);
+        let admission = match limited_wait {
+            Some(wait) => queue.admit_for(now, &params, wait),
+            None => queue.admit(now, &params),
+        };
+        match admission {
             Admission::Queued => {
                 let (assignment, assigned) = oneshot::channel();
                 let ticket = queue.push(params, Waiter { excluded: excluded.to_vec(), assignment });
@@ -332,6 +345,7 @@
             if let Err(upstream) = waiter.assignment.send(upstream) {
                 loads.record_prompt_read(upstream.key, params.prompt_tokens);
                 loads.release(now, upstream.key, UpstreamOutcome::Inconclusive);
+                loads.rate_limits.cancel_send(now, &upstream);
                 continue;
             }
             queue.record_dispatch(now, &params);
