Spread the rate limits that upstreams state with heartbeats

A limit that was known only where an answer had arrived would be exceeded by all other nodes. Each node reports what upstreams stated to it, with the age, and for the limits under which it sends also its recent sends and its demand; the latest statement wins. Only own statements are reported, so that an old one gets no younger by being passed on. What a peer reported expires with its heartbeats. HEARTBEAT_VERSION is 6.

--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -9,7 +9,7 @@
 };
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-pub const HEARTBEAT_VERSION: u16 = 5;
+pub const HEARTBEAT_VERSION: u16 = 6;
 
 /// Hash of an upstream's name, which keeps a heartbeat that lists dozens of upstreams small.
 pub type UpstreamKey = u32;
@@ -87,6 +87,8 @@
     pub is_leader: bool,
     /// Load of the sender on each upstream.
     pub loads: Vec<HeartbeatLoad>,
+    /// Upstreams that have stated a rate limit.
+    pub limits: Vec<HeartbeatLimit>,
     /// Instances whose streams have all stalled at the sender.
     pub unresponsive: Vec<InstanceId>,
     /// Prompts that were unanswered when their engines crashed.
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -84,6 +84,7 @@
         clock: Arc<dyn Clock>,
         identity: NodeIdentity,
     ) {
+        tables.balancer.lock().loads.rate_limits.set_own(identity.node.clone());
         let exchange = Arc::new(Self { tables, transport, node_list, clock, identity });
         tokio::spawn(Arc::clone(&exchange).send_loop());
         tokio::spawn(Arc::clone(&exchange).receive_loop());
@@ -95,8 +96,12 @@
         loop {
             let batch = self.tables.peers.lock().next_heartbeat_batch(&self.identity.address);
             if batch.starts_round {
-                self.tables.balancer.lock().loads.mark_reported();
                 let now = self.clock.now();
+                {
+                    let mut balancer = self.tables.balancer.lock();
+                    balancer.loads.mark_reported();
+                    balancer.loads.rate_limits.mark_reported(now);
+                }
                 let mut crashes = self.tables.crashes.lock();
                 updates = RoundUpdates {
                     prompts: crashes.prompts.next_updates(now),
@@ -128,9 +133,9 @@
     }
 
     fn build_heartbeat(&self, now: Instant, updates: &RoundUpdates) -> Heartbeat {
-        let (loads, unresponsive) = {
-            let balancer = self.tables.balancer.lock();
-            (balancer.loads.local_loads(now), balancer.loads.stalls_to_report(now))
+        let (loads, unresponsive, limits) = {
+            let loads = &self.tables.balancer.lock().loads;
+            (loads.local_loads(now), loads.stalls_to_report(now), loads.rate_limits.to_report(now))
         };
         let has_fresh_view = self.tables.has_own_fresh_view(now);
         let (leaving, is_leader) = {
@@ -148,6 +153,7 @@
             leaving,
             is_leader,
             loads,
+            limits,
             unresponsive,
             prompt_crashes: updates.prompts.crashes.iter().map(encode_crash).collect(),
             cleared_parts: updates.prompts.cleared.clone(),
@@ -196,6 +202,7 @@
             balancer.loads.merge_peer_loads(now, &heartbeat.node, &heartbeat.loads);
             balancer.loads.record_suspects(now, heartbeat.unresponsive);
         }
+        self.tables.apply_peer_limits(now, &heartbeat.node, &heartbeat.limits);
         let prompts = decode_updates(heartbeat.prompt_crashes, heartbeat.cleared_parts);
         let requests = decode_updates(heartbeat.request_crashes, heartbeat.cleared_requests);
         self.tables.update_crashes(|crashes| crashes.apply(now, prompts, requests));
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -158,6 +158,7 @@
     pub fn expire_reports(&self, now: Instant) {
         let heartbeat_timeout = self.peers.lock().heartbeat_timeout();
         self.balancer.lock().loads.expire_peer_loads(now, heartbeat_timeout);
+        self.update_rate_shares(now, heartbeat_timeout);
         self.update_crashes(|crashes| crashes.expire(now));
     }
 
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -32,6 +32,8 @@
     turmerictack_telemetry::registry::Registry,
 };
 
+pub mod limited_cluster;
+
 pub const HOST: &str = "api.example";
 pub const DATA_CENTRE: &str = "dc-1";
 
--- a/crates/serving/tests/lost_peers.rs
+++ b/crates/serving/tests/lost_peers.rs
@@ -80,6 +80,7 @@
         leaving: false,
         is_leader: false,
         loads: ["e0", "e1"].map(load).into(),
+        limits: Vec::new(),
         unresponsive: Vec::new(),
         prompt_crashes: Vec::new(),
         cleared_parts: Vec::new(),
