Use the rates of limited upstreams more fully in small clusters

In virtual time nine nodes used 72 to 94 per cent of the rates: a bucket of one token loses the time from its refill to the next request, and a node derived its share from the lower of its current and its reported demand while the others used the reported one, so the shares summed to less than the rate. Nodes whose requests are counted by all now save one and a half tokens, still sending one at a time, and all derive the shares from the demand that was reported to all.

The senders are assigned again once a limit was dropped; before, one that came back with the same number of senders had none.

--- a/crates/serving/src/rate_limits/limit.rs
+++ b/crates/serving/src/rate_limits/limit.rs
@@ -66,11 +66,9 @@
         }
     }
 
-    /// Demand that all peers have been told of, or the current one if it is lower.
-    ///
-    /// A share grows only after the others have had the time to reduce theirs.
-    pub(super) fn known_demand(&self, now: Instant) -> f64 {
-        self.demand.per_second(now).min(self.reported_demand[0])
+    /// Demand that all peers have been told of, from which they derive their shares too.
+    pub(super) fn known_demand(&self) -> f64 {
+        self.reported_demand[0]
     }
 
     /// Requests that this node sent in the window.
--- a/crates/serving/src/rate_limits/mod.rs
+++ b/crates/serving/src/rate_limits/mod.rs
@@ -32,6 +32,10 @@
 /// Time of a round of heartbeats up to which the requests that peers report count as recent.
 const RECENT_ROUND: Duration = Duration::from_millis(250);
 
+/// Tokens that a node saves where the requests of all nodes are counted; more than one, so that the
+/// time until the next request isn't lost.
+const COUNTED_CAPACITY: f64 = 1.5;
+
 /// Change of the limit that binds this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitChange {
@@ -208,7 +212,11 @@
                 limit.listed_at = now;
             }
         }
+        let known = self.limits.len();
         self.limits.retain(|_, limit| now < limit.listed_at + UNLISTED_RETENTION);
+        if self.limits.len() < known {
+            self.assigned.clear();
+        }
     }
 
     /// Applies the nodes that are live, and drops what peers reported longer than `timeout` ago.
@@ -239,6 +247,7 @@
             self.reassign(now, &counts);
             self.assigned = counts;
         }
+        let capacity = if are_counts_recent { COUNTED_CAPACITY } else { 1.0 };
         let own = &self.own;
         for (run, limit) in &mut self.limits {
             let uses = |node: &NodeId| self.peer_reports.get(node)?.by_run.get(run).copied();
@@ -248,11 +257,11 @@
             let others = limit.senders.iter().filter(|n| *n != own);
             let demands = others.map(|node| uses(node).map_or(0.0, |u| u.demand));
             let share = if limit.senders.contains(own) {
-                share_of_demand(limit.known_demand(now), demands)
+                share_of_demand(limit.known_demand(), demands)
             } else {
                 0.0
             };
-            limit.bucket.set_rate(now, rate.per_second() * live_share * share);
+            limit.bucket.set_rate(now, rate.per_second() * live_share * share, capacity);
         }
     }
 
