Keep the bursts of all senders to a limited upstream within its limit

The count of all nodes' requests comes too late for requests of the same moment, so it can't stand in for the bound on the buckets.

The number of senders is now such that the tokens saved by all of them stay within what the limit allows beyond the rate, in clusters of any size: 4 L + 1.5 k is below 6 L + 5. Fewer senders have larger shares and lose less of them. To leave no node behind, senders are assigned evenly within each pool, a sender's weight is its demand divided by the number of upstreams over which it spreads it, and in small clusters nodes without requests come last.

--- a/crates/serving/src/rate_limits/bucket.rs
+++ b/crates/serving/src/rate_limits/bucket.rs
@@ -1,6 +1,9 @@
 //! Token bucket of one node for one upstream.
 
-use std::time::{Duration, Instant};
+use {
+    super::senders::SAVED_TOKENS,
+    std::time::{Duration, Instant},
+};
 
 /// Time for which tokens are saved, so that a high rate isn't lost between two dispatches.
 const BURST_TIME: Duration = Duration::from_millis(100);
@@ -8,27 +11,25 @@
 /// Tolerance for rounding errors of the level.
 const EPSILON: f64 = 1e-6;
 
-/// Token bucket that holds a token or two, or a little more at high rates.
+/// Token bucket that holds [`SAVED_TOKENS`], or a little more at high rates.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TokenBucket {
     tokens: f64,
     per_second: f64,
-    capacity: f64,
     updated_at: Instant,
 }
 
 impl TokenBucket {
     /// A bucket that isn't filled yet.
     pub(super) fn new(now: Instant, tokens: f64) -> Self {
-        Self { tokens, per_second: 0.0, capacity: 1.0, updated_at: now }
+        Self { tokens, per_second: 0.0, updated_at: now }
     }
 
-    /// Changes the rate, and the number of tokens to save, from now on.
-    pub(super) fn set_rate(&mut self, now: Instant, per_second: f64, capacity: f64) {
+    /// Changes the rate from now on.
+    pub(super) fn set_rate(&mut self, now: Instant, per_second: f64) {
         self.tokens = self.level(now);
         self.updated_at = now;
         self.per_second = per_second;
-        self.capacity = capacity;
     }
 
     /// Removes all tokens.
@@ -39,7 +40,7 @@
 
     /// Tokens in the bucket.
     pub(super) fn level(&self, now: Instant) -> f64 {
-        let capacity = (self.per_second * BURST_TIME.as_secs_f64()).max(self.capacity);
+        let capacity = (self.per_second * BURST_TIME.as_secs_f64()).max(SAVED_TOKENS);
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         (self.tokens + elapsed * self.per_second).min(capacity)
     }
--- a/crates/serving/src/rate_limits/limit.rs
+++ b/crates/serving/src/rate_limits/limit.rs
@@ -1,13 +1,13 @@
 //! Rate limit of one run of an upstream, as this node knows it.
 
 use {
-    super::bucket::TokenBucket,
+    super::{bucket::TokenBucket, senders::Senders},
     crate::spread::SendRate,
     std::{
-        collections::{BTreeSet, VecDeque},
+        collections::VecDeque,
         time::{Duration, Instant},
     },
-    turmerictack_model::{ids::NodeId, rate::RequestRate},
+    turmerictack_model::rate::RequestRate,
 };
 
 /// Window over which the requests to an upstream are counted.
@@ -36,7 +36,7 @@
     /// Time at which the run was last known to be listed.
     pub(super) listed_at: Instant,
     /// Nodes that may send.
-    pub(super) senders: BTreeSet<NodeId>,
+    pub(super) senders: Senders,
     pub(super) bucket: TokenBucket,
     /// Whether the bucket has got its first tokens.
     pub(super) is_filled: bool,
@@ -56,7 +56,7 @@
             latest,
             own: None,
             listed_at: now,
-            senders: BTreeSet::new(),
+            senders: Senders::new(),
             bucket: TokenBucket::new(now, 0.0),
             is_filled: false,
             demand: SendRate::new(now),
--- a/crates/serving/src/rate_limits/mod.rs
+++ b/crates/serving/src/rate_limits/mod.rs
@@ -7,34 +7,39 @@
 mod apply;
 mod bucket;
 mod limit;
+mod reports;
 mod senders;
 
-pub use self::senders::{UpstreamRun, assign_senders, max_senders, share_of_demand};
+pub use self::senders::{Senders, UpstreamRun, assign_senders, max_senders, weight_of_demand};
 
 use {
-    self::limit::{Limit, Statement},
-    crate::{directory::Upstream, interfaces::StatedLimit, membership::heartbeat_round},
+    self::{
+        limit::{Limit, Statement},
+        reports::PeerReport,
+    },
+    crate::{
+        directory::{PoolKey, Upstream, UpstreamPools},
+        interfaces::StatedLimit,
+        membership::heartbeat_round,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::{Duration, Instant},
     },
     turmerictack_model::{ids::NodeId, rate::RequestRate},
-    turmerictack_protocol::heartbeat::{HeartbeatLimit, HeartbeatStatement, UpstreamKey},
+    turmerictack_protocol::heartbeat::UpstreamKey,
 };
 
 /// Time for which the limit of a run that isn't listed is kept.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(10);
 
-/// Time for which it is reported that a limit was lifted.
-const LIFT_REPORT_TIME: Duration = Duration::from_secs(10);
-
-/// Time of a round of heartbeats up to which the requests that peers report count as recent.
-const RECENT_ROUND: Duration = Duration::from_millis(250);
+/// Time of a round of heartbeats up to which nodes with requests are preferred as senders.
+const RECENT_ROUND: Duration = Duration::from_millis(100);
 
-/// Tokens that a node saves where the requests of all nodes are counted; more than one, so that the
-/// time until the next request isn't lost.
-const COUNTED_CAPACITY: f64 = 1.5;
+/// Demand below which a node counts as one without requests, in requests per second; reached some
+/// seconds after the last one.
+const ACTIVE_DEMAND: f64 = 0.02;
 
 /// Change of the limit that binds this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,19 +68,6 @@
     }
 }
 
-/// Sends and demand under a limit, as a peer last reported them.
-#[derive(Clone, Copy, Debug)]
-struct PeerUse {
-    sends: usize,
-    demand: f64,
-}
-
-#[derive(Debug)]
-struct PeerReport {
-    received_at: Instant,
-    by_run: BTreeMap<UpstreamRun, PeerUse>,
-}
-
 /// Rate limits of all upstreams.
 #[derive(Debug, Default)]
 pub struct RateLimits {
@@ -83,9 +75,10 @@
     cluster: Cluster,
     limits: BTreeMap<UpstreamRun, Limit>,
     peer_reports: BTreeMap<NodeId, PeerReport>,
-    listed: BTreeSet<UpstreamRun>,
-    /// Numbers of senders for which the senders were last assigned.
-    assigned: BTreeMap<UpstreamRun, usize>,
+    /// Listed runs, each with a pool that it belongs to.
+    listed: BTreeMap<UpstreamRun, PoolKey>,
+    /// Numbers of senders and active nodes for which the senders were last assigned.
+    assigned: (BTreeMap<UpstreamRun, usize>, BTreeSet<NodeId>),
 }
 
 impl RateLimits {
@@ -141,58 +134,6 @@
         (previous.rate != statement.rate).then_some(change)
     }
 
-    /// Applies what a peer reports; returns the changes of limits.
-    pub fn merge_peer(
-        &mut self,
-        now: Instant,
-        node: &NodeId,
-        reports: &[HeartbeatLimit],
-    ) -> Vec<LimitChange> {
-        let mut changes = Vec::new();
-        for report in reports {
-            let run = (report.upstream, report.started_ms);
-            let Some(statement) = decode_statement(now, report.statement) else { continue };
-            if statement.rate.is_some() || self.limits.contains_key(&run) {
-                changes.extend(self.apply(now, run, statement));
-            }
-        }
-        let by_run = reports.iter().map(|r| {
-            let demand = f64::from(r.demand_thousandths) / 1_000.0;
-            ((r.upstream, r.started_ms), PeerUse { sends: r.recent_sends.into(), demand })
-        });
-        let report = PeerReport { received_at: now, by_run: by_run.collect() };
-        if report.by_run.is_empty() {
-            self.peer_reports.remove(node);
-        } else {
-            self.peer_reports.insert(node.clone(), report);
-        }
-        if !changes.is_empty() {
-            self.update(now);
-        }
-        changes
-    }
-
-    /// What to report to peers.
-    pub fn to_report(&self, now: Instant) -> Vec<HeartbeatLimit> {
-        let report = |(run, limit): (&UpstreamRun, &Limit)| {
-            let statement = limit.own.filter(|own| is_reported(now, own, &limit.latest));
-            let is_sender = limit.latest.rate.is_some() && limit.senders.contains(&self.own);
-            let demand = if is_sender { limit.demand.per_second(now) } else { 0.0 };
-            let report = HeartbeatLimit {
-                upstream: run.0,
-                started_ms: run.1,
-                statement: statement.map(|s| encode_statement(now, s)),
-                recent_sends: u16::try_from(limit.count(now)).unwrap_or(u16::MAX),
-                demand_thousandths: (demand * 1_000.0) as u32,
-            };
-            let is_empty = report.statement.is_none()
-                && report.recent_sends == 0
-                && report.demand_thousandths == 0;
-            (!is_empty).then_some(report)
-        };
-        self.limits.iter().filter_map(report).collect()
-    }
-
     /// Remembers the demand as reported to all peers in the round of heartbeats that begins.
     pub fn mark_reported(&mut self, now: Instant) {
         for limit in self.limits.values_mut() {
@@ -200,22 +141,25 @@
         }
     }
 
-    /// Replaces the listed runs of upstreams.
-    pub fn set_listed(&mut self, now: Instant, listed: BTreeSet<UpstreamRun>) {
-        self.listed = listed;
+    /// Applies the listed upstreams.
+    pub fn set_listed(&mut self, now: Instant, pools: &UpstreamPools) {
+        let runs = pools.iter().flat_map(|(pool, upstreams)| {
+            upstreams.iter().map(|upstream| (run_of(upstream), pool.clone()))
+        });
+        self.listed = runs.collect();
         self.drop_unlisted(now);
     }
 
     fn drop_unlisted(&mut self, now: Instant) {
         for (run, limit) in &mut self.limits {
-            if self.listed.contains(run) {
+            if self.listed.contains_key(run) {
                 limit.listed_at = now;
             }
         }
         let known = self.limits.len();
         self.limits.retain(|_, limit| now < limit.listed_at + UNLISTED_RETENTION);
         if self.limits.len() < known {
-            self.assigned.clear();
+            self.assigned.0.clear();
         }
     }
 
@@ -228,7 +172,7 @@
         self.peer_reports.retain(|_, report| now < report.received_at + timeout);
         self.drop_unlisted(now);
         if self.cluster.peers != cluster.peers {
-            self.assigned.clear();
+            self.assigned.0.clear();
         }
         self.cluster = cluster;
         self.update(now);
@@ -237,46 +181,75 @@
     /// Assigns the senders and sets this node's shares.
     fn update(&mut self, now: Instant) {
         let live_share = self.cluster.live_share();
-        let are_counts_recent = heartbeat_round(self.cluster.registered) <= RECENT_ROUND;
-        let senders =
-            |rate| ((max_senders(rate, are_counts_recent) as f64 * live_share) as usize).max(1);
+        let senders = |rate| ((max_senders(rate) as f64 * live_share) as usize).max(1);
         let limited = self.limits.iter().filter_map(|(run, l)| Some((*run, l.latest.rate?)));
         let counts: BTreeMap<UpstreamRun, usize> =
             limited.map(|(run, rate)| (run, senders(rate))).collect();
-        if counts != self.assigned {
-            self.reassign(now, &counts);
-            self.assigned = counts;
+        let active = self.active_nodes();
+        if (&counts, &active) != (&self.assigned.0, &self.assigned.1) {
+            self.reassign(now, &counts, &active);
+            self.assigned = (counts, active);
         }
-        let capacity = if are_counts_recent { COUNTED_CAPACITY } else { 1.0 };
         let own = &self.own;
         for (run, limit) in &mut self.limits {
-            let uses = |node: &NodeId| self.peer_reports.get(node)?.by_run.get(run).copied();
             let peers = self.peer_reports.values().filter_map(|r| r.by_run.get(run));
             limit.peer_count = peers.map(|u| u.sends).sum();
             let Some(rate) = limit.latest.rate else { continue };
-            let others = limit.senders.iter().filter(|n| *n != own);
-            let demands = others.map(|node| uses(node).map_or(0.0, |u| u.demand));
-            let share = if limit.senders.contains(own) {
-                share_of_demand(limit.known_demand(), demands)
-            } else {
-                0.0
+            let demand_of = |node: &NodeId| match self.peer_reports.get(node) {
+                _ if node == own => limit.known_demand(),
+                Some(report) => report.by_run.get(run).map_or(0.0, |u| u.demand),
+                None => 0.0,
             };
-            limit.bucket.set_rate(now, rate.per_second() * live_share * share, capacity);
+            let weight =
+                |(node, count): (&NodeId, &usize)| weight_of_demand(demand_of(node), *count);
+            let total: f64 = limit.senders.iter().map(weight).sum();
+            let share = limit.senders.get_key_value(own).map_or(0.0, weight) / total;
+            limit.bucket.set_rate(now, rate.per_second() * live_share * share);
+        }
+    }
+
+    /// Whether the demand of each node becomes known to the others within a few intervals.
+    fn is_demand_recent(&self) -> bool {
+        heartbeat_round(self.cluster.registered) <= RECENT_ROUND
+    }
+
+    /// Nodes that are known to have requests for limited upstreams; none in a large cluster.
+    fn active_nodes(&self) -> BTreeSet<NodeId> {
+        if !self.is_demand_recent() {
+            return BTreeSet::new();
         }
+        let is_active =
+            |report: &PeerReport| report.by_run.values().any(|used| used.demand >= ACTIVE_DEMAND);
+        let peers = self.peer_reports.iter().filter(|(_, report)| is_active(report));
+        let mut active: BTreeSet<NodeId> = peers.map(|(node, _)| node.clone()).collect();
+        if self.limits.values().any(|limit| limit.known_demand() >= ACTIVE_DEMAND) {
+            active.insert(self.own.clone());
+        }
+        active
     }
 
-    fn reassign(&mut self, now: Instant, counts: &BTreeMap<UpstreamRun, usize>) {
+    fn reassign(
+        &mut self,
+        now: Instant,
+        counts: &BTreeMap<UpstreamRun, usize>,
+        active: &BTreeSet<NodeId>,
+    ) {
         let mut nodes = self.cluster.peers.clone();
         nodes.insert(self.own.clone());
-        for (run, senders) in assign_senders(counts, &nodes) {
+        let mut by_pool: BTreeMap<Option<&PoolKey>, BTreeMap<UpstreamRun, usize>> = BTreeMap::new();
+        for (run, count) in counts {
+            by_pool.entry(self.listed.get(run)).or_default().insert(*run, *count);
+        }
+        for (run, senders) in by_pool.values().flat_map(|runs| assign_senders(runs, &nodes, active))
+        {
             let Some(limit) = self.limits.get_mut(&run) else { continue };
             let own = &self.own;
-            let is_new = !limit.senders.contains(own) && senders.contains(own);
+            let is_new = !limit.senders.contains_key(own) && senders.contains_key(own);
             if is_new && limit.is_filled {
                 limit.bucket.drain(now);
             } else if is_new {
                 // The senders start at different levels, so that they don't send all at once.
-                let rank = senders.iter().position(|n| n == own).unwrap_or(0);
+                let rank = senders.keys().position(|n| n == own).unwrap_or(0);
                 limit.bucket = bucket::TokenBucket::new(now, rank as f64 / senders.len() as f64);
             }
             limit.is_filled = true;
@@ -355,26 +328,3 @@
 fn run_of(upstream: &Upstream) -> UpstreamRun {
     (upstream.key, upstream.started_ms)
 }
-
-/// Whether a node reports what an upstream stated to it: peers need no statement that was followed
-/// by a different one.
-fn is_reported(now: Instant, own: &Statement, latest: &Statement) -> bool {
-    own.rate == latest.rate && (own.rate.is_some() || now < own.stated_at + LIFT_REPORT_TIME)
-}
-
-fn encode_statement(now: Instant, statement: Statement) -> HeartbeatStatement {
-    let age = now.saturating_duration_since(statement.stated_at);
-    HeartbeatStatement {
-        rate_thousandths: statement.rate.map(RequestRate::thousandths),
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-    }
-}
-
-fn decode_statement(now: Instant, statement: Option<HeartbeatStatement>) -> Option<Statement> {
-    let statement = statement?;
-    let stated_at = now.checked_sub(Duration::from_millis(statement.age_ms.into()))?;
-    Some(Statement {
-        rate: statement.rate_thousandths.map(RequestRate::from_thousandths),
-        stated_at,
-    })
-}
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -186,8 +186,7 @@
         let mut balancer = self.balancer.lock();
         let keys: BTreeSet<_> = pools.values().flatten().map(|u| u.key).collect();
         balancer.loads.retain(&|key| keys.contains(&key));
-        let runs = pools.values().flatten().map(|u| (u.key, u.started_ms));
-        balancer.loads.rate_limits.set_listed(now, runs.collect());
+        balancer.loads.rate_limits.set_listed(now, &pools);
         drop(balancer);
         self.update_crashes(|crashes| crashes.apply_states(now, |run| run_state(&directory, run)));
         drop(directory);
