Give requests that wait for the rate of an upstream their turn

Seen in the tests of the platform's front end: with rate limits at all upstreams, 82 of 542 refused bookings waited 501 ms and 65 of 418 refused streams 1,001 ms, and were never sent. Cause: a request that has waited past its latency target goes behind all that can still be on time. Besides, shares change while a request waits.

Requests that wait for a rate are now dispatched in the order of arrival, all of them count as ahead of a new one, and a request is queued only if its wait, and half as much again, is within its time. Its retry delay is the wait itself.

--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -114,10 +114,9 @@
         }
     }
 
-    /// Number of queued requests that would go before a request.
-    pub fn ahead(&self, now: Instant, params: &SchedulingParams) -> usize {
-        let key = sort_key(now, params);
-        self.waiting.values().filter(|(other, _)| sort_key(now, other) <= key).count()
+    /// Number of queued requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
     }
 
     /// Decides whether a request may be queued, from the requests that would go before it.
@@ -182,6 +181,12 @@
         self.waiting.remove(&ticket).map(|(_, request)| request)
     }
 
+    /// The request that has waited longest.
+    pub fn peek_oldest(&self) -> Option<(Ticket, SchedulingParams, &T)> {
+        let (ticket, (params, request)) = self.waiting.first_key_value()?;
+        Some((*ticket, *params, request))
+    }
+
     /// The request to dispatch next.
     pub fn peek(&self, now: Instant) -> Option<(Ticket, SchedulingParams, &T)> {
         let first = self
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -33,6 +33,9 @@
 /// Time since the last response of the store for which the view of the instances counts as fresh.
 const INSTANCE_VIEW_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Factor on the expected wait for a rate, as the shares of the nodes change in the meantime.
+const RATE_WAIT_MARGIN: f64 = 1.5;
+
 /// A queued request.
 #[derive(Debug)]
 pub struct Waiter {
@@ -272,10 +275,12 @@
             return Placement::WaitTooLong(resumes_at.saturating_duration_since(now));
         }
         let candidates = upstreams.iter().filter(|u| !excluded.contains(&u.instance));
-        let ahead = queue.ahead(now, &params);
         let limits = &balancer.loads.rate_limits;
-        let limited_wait = limits.expected_wait(now, candidates.map(Arc::as_ref), ahead);
+        let limited_wait = limits.expected_wait(now, candidates.map(Arc::as_ref), queue.len());
         let admission = match limited_wait {
+            Some(wait) if now + wait.mul_f64(RATE_WAIT_MARGIN) > params.expires_at => {
+                Admission::WaitTooLong { expected_wait: wait }
+            }
             Some(wait) => queue.admit_for(now, &params, wait),
             None => queue.admit(now, &params),
         };
@@ -336,7 +341,12 @@
         let mut queues = self.queues.lock();
         let Some(queue) = queues.get_mut(pool) else { return };
         let Balancer { loads, rng, .. } = &mut *balancer;
-        while let Some((ticket, params, waiter)) = queue.peek(now) {
+        let all = upstreams.iter().map(Arc::as_ref);
+        // A request that was queued for a rate has been promised its turn.
+        let is_limited = loads.rate_limits.expected_wait(now, all, 0).is_some();
+        while let Some((ticket, params, waiter)) =
+            if is_limited { queue.peek_oldest() } else { queue.peek(now) }
+        {
             let selection =
                 loads.select(now, upstreams, &waiter.excluded, "", params.reserved_share(now), rng);
             let Selection::Upstream(upstream) = selection else { return };
--- a/crates/serving/tests/rate_limits_cluster.rs
+++ b/crates/serving/tests/rate_limits_cluster.rs
@@ -83,6 +83,16 @@
     assert_limits_kept(&run(Scenario { restart, ..Scenario::new(nodes, seed) }));
 }
 
+/// Guards against requests that wait for a rate until their time is over, while later ones are sent.
+#[rstest]
+fn request_that_is_queued_for_a_rate_gets_its_turn(
+    #[values(9, 30)] nodes: usize,
+    #[values(1.3, 2.2, 4.9)] rate: f64,
+) {
+    let cluster = run(Scenario { rate, demand: 3.0 * rate * 2.3, ..Scenario::new(nodes, 1) });
+    assert!(cluster.timed_out * 100 <= cluster.requests, "{} timed out", cluster.timed_out);
+}
+
 /// Guards against nodes that go on limiting an upstream that has lifted its limit.
 #[rstest]
 fn lifted_limit_binds_no_node_any_more(#[values(9, 30)] nodes: usize) {
