Carry out delayed removals of instances when they are due

Cause: after an outage of the store, and one failed watch counts as one, a missing entry has 2.2 s to come back. The removal that is due then was carried out only once the next watch had returned, up to 2 s later. Ruled out: news that comes late, the nodes next to it had it in time.

The grace itself stays as it is.

--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Time at which the next scheduled removal is due.
+    pub fn next_removal(&self) -> Option<Instant> {
+        self.removals.values().min().copied()
+    }
+
     /// Whether any scheduled removal is due.
     pub fn has_due_removals(&self, now: Instant) -> bool {
         self.removals.values().any(|at| now >= *at)
