--- a/crates/serving/tests/common/limited_cluster.rs
+++ b/crates/serving/tests/common/limited_cluster.rs
@@ -283,6 +283,7 @@
             let params = SchedulingParams {
                 priority: 0,
                 is_client_retry: false,
+                is_resumption: false,
                 dispatch_by: self.now + self.scenario.max_wait / 2,
                 expires_at: self.now + self.scenario.max_wait,
                 prompt_tokens: 0,
--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -51,6 +51,7 @@
     let params = SchedulingParams {
         priority: 0,
         is_client_retry: false,
+        is_resumption: false,
         dispatch_by: now + MAX_WAIT,
         expires_at: now + MAX_WAIT,
         prompt_tokens: 0,
