Report a rate limit that others confirm for ten seconds only

Cause: each node repeated the limits that had ever been stated to itself in every heartbeat, for as long as the limit stood. A heartbeat of a large cluster would list every limited upstream that the node had ever used, about 20 bytes each, although a few nodes send there and hear it anew with each response.

Change: a statement is reported for ten seconds, as lifted limits are, and the latest one that names a limit for as long as no later one is known, so that a node that has restarted learns of it.

The size of heartbeats with hundreds of limited upstreams was not measured.

--- a/crates/serving/src/rate_limits/reports.rs
+++ b/crates/serving/src/rate_limits/reports.rs
@@ -13,8 +13,8 @@
     turmerictack_protocol::heartbeat::{HeartbeatLimit, HeartbeatStatement},
 };
 
-/// Time for which it is reported that a limit was lifted.
-const LIFT_REPORT_TIME: Duration = Duration::from_secs(10);
+/// Time for which a statement is reported; the latest one that names a limit is reported for longer.
+const REPORT_TIME: Duration = Duration::from_secs(10);
 
 /// Sends and demand under a limit, as a peer last reported them.
 #[derive(Clone, Copy, Debug)]
@@ -88,10 +88,13 @@
     }
 }
 
-/// Whether a node reports what an upstream stated to it: peers need no statement that was followed
-/// by a different one.
+/// Whether a node reports what an upstream stated to it.
+///
+/// Peers need no statement that was followed by a different one, and few need to confirm the same one,
+/// so that heartbeats stay small in large clusters.
 fn is_reported(now: Instant, own: &Statement, latest: &Statement) -> bool {
-    own.rate == latest.rate && (own.rate.is_some() || now < own.stated_at + LIFT_REPORT_TIME)
+    let is_latest = own.rate.is_some() && own.stated_at >= latest.stated_at;
+    own.rate == latest.rate && (is_latest || now < own.stated_at + REPORT_TIME)
 }
 
 fn encode_statement(now: Instant, statement: Statement) -> HeartbeatStatement {
--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -225,6 +225,22 @@
     assert!(reported(later).is_empty(), "a later statement replaced it");
 }
 
+/// Guards against heartbeats in which every node repeats a limit that others confirm.
+#[rstest]
+fn statement_that_a_peer_has_confirmed_since_is_reported_for_ten_seconds() {
+    let (tables, now) = (tables(), Instant::now() + Duration::from_secs(60));
+    let has_statement = |after_s| {
+        let reports = tables.balancer.lock().loads.rate_limits.to_report(now + after_s);
+        reports.iter().any(|r| r.statement.is_some())
+    };
+    tables.apply_stated_limit(now, &upstream(&tables, "p0"), limited(1.0));
+    assert!(has_statement(Duration::from_secs(60)), "no later statement is known");
+    let later = now + Duration::from_secs(5);
+    tables.apply_peer_limits(later, &"n1".to_owned(), &[report("p0", Some(1.0), 10)]);
+    assert!(has_statement(Duration::from_secs(9)));
+    assert!(!has_statement(Duration::from_secs(11)));
+}
+
 /// Guards against state that only the next message of a lost peer would drop.
 #[rstest]
 fn sends_of_a_lost_peer_are_forgotten() {
