Use an unhealthy upstream rather than wait for the rate of a healthy one

Cause: upstreams that aren't healthy are eligible only if no healthy one is there. A healthy one whose limit allows no request now counted as there, so all waited for its tokens. An upstream with failures counts as unhealthy until their rate, which halves in 30 s, is below 0.3, so this lasted. A healthy one that is full goes on counting: its slots become free much sooner.

Measured: unhealthy_upstream_takes_what_the_limited_healthy_one_can_not sends 0 of 100 before, 100 with it.

--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -150,7 +150,8 @@
         if candidates.is_empty() {
             return Selection::NoCandidate;
         }
-        let has_healthy = candidates.iter().any(|u| self.is_healthy(now, u));
+        let has_healthy =
+            candidates.iter().any(|u| self.is_healthy(now, u) && self.rate_limits.may_send(now, u));
         let is_eligible = |upstream: &Upstream| {
             if has_healthy {
                 self.is_healthy(now, upstream)
--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -327,6 +327,22 @@
     assert!(sent.iter().all(|id| id == "p1"));
 }
 
+/// Guards against requests that wait for a rate although an unhealthy upstream is free.
+#[rstest]
+fn unhealthy_upstream_takes_what_the_limited_healthy_one_can_not() {
+    let (tables, now) = (tables(), Instant::now());
+    tables.apply_stated_limit(now, &upstream(&tables, "p0"), limited(0.25));
+    let unhealthy = upstream(&tables, "p1");
+    for _ in 0..10 {
+        let mut balancer = tables.balancer.lock();
+        balancer.loads.acquire(now, &unhealthy, 0);
+        balancer.loads.release(now, unhealthy.key, UpstreamOutcome::Failure);
+    }
+    let sent = send_all(&tables, now);
+    assert_eq!(sent.len(), 100);
+    assert!(sent.iter().filter(|id| *id == "p0").count() <= 1);
+}
+
 /// Guards against requests that wait in vain for a rate that is taken by those ahead of them.
 #[rstest]
 fn request_that_would_wait_too_long_for_the_rate_is_rejected_on_arrival() {
