--- a/crates/serving/src/response_time.rs
+++ b/crates/serving/src/response_time.rs
@@ -17,7 +17,7 @@
 /// Number of responses of each pool whose durations are kept.
 const MAX_DURATIONS: usize = 64;
 
-/// Number of responses of a pool from which on the longest says something about the next.
+/// Smallest number of responses of a pool for an estimate of the next duration.
 const MIN_DURATIONS: usize = 8;
 
 /// Median time from a send to the first event or the complete response, by pool.
--- a/crates/serving/src/shutdown.rs
+++ b/crates/serving/src/shutdown.rs
@@ -1,11 +1,9 @@
 //! Decides until when a node that shuts down may send a request to an upstream.
 //!
-//! A response has to be complete when the node ends its connections. It answers two loads. Ordinary
-//! traffic goes on until the load balancer has noticed the shutdown; rejecting all of it would cost
-//! each caller a retry, which may reach the same node again, so that an estimate of the duration of
-//! the response decides. What arrives afterwards comes from few clients, on connections that they
-//! opened before, and the other nodes are free to take it, so that it is sent only if even the
-//! longest response is in time.
+//! A response has to be complete when the node ends its connections. While the load balancer still
+//! sends requests, the duration of the response is estimated: a rejected client may be sent to the same
+//! node again. Later requests come on connections that were opened before, and the other nodes can take
+//! them, so even the longest response has to be in time.
 
 use std::time::{Duration, Instant};
 
