--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -27,6 +27,7 @@
         proxy::Proxy,
         request::{RawRequest, Request, ResponseHead, UpstreamRequest},
         retry_budget::RetryBudgetConfig,
+        stream::{EventStream, StreamError},
         tables::Tables,
     },
     turmerictack_telemetry::registry::Registry,
@@ -403,3 +404,15 @@
 pub fn address(at: usize) -> Address {
     format!("10.0.{}.{}:1", at / 250, at % 250)
 }
+
+/// Text of a stream as received by the client, and how the stream ended.
+pub async fn read_events(events: &mut EventStream) -> (String, Result<(), StreamError>) {
+    let mut text = String::new();
+    loop {
+        match events.next().await {
+            Ok(Some(bytes)) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
+            Ok(None) => return (text, Ok(())),
+            Err(error) => return (text, Err(error)),
+        }
+    }
+}
--- a/crates/serving/tests/desk.rs
+++ b/crates/serving/tests/desk.rs
@@ -6,8 +6,8 @@
 
 use {
     common::{
-        ScriptedAction, ScriptedUpstreams, StreamEnd, proxy, proxy_with_clock, request,
-        restart_heads, tables,
+        ScriptedAction, ScriptedUpstreams, StreamEnd, proxy, proxy_with_clock, read_events,
+        request, restart_heads, tables,
     },
     rstest::rstest,
     std::{
@@ -46,14 +46,7 @@
     let Reply::Stream { mut events, .. } = proxy.serve(request(route)).await else {
         panic!("no stream")
     };
-    let mut text = String::new();
-    loop {
-        match events.next().await {
-            Ok(Some(bytes)) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
-            Ok(None) => return (text, Ok(())),
-            Err(error) => return (text, Err(error)),
-        }
-    }
+    read_events(&mut events).await
 }
 
 fn whole_stream(last: u64) -> String {
--- a/crates/serving/tests/silent_upstream.rs
+++ b/crates/serving/tests/silent_upstream.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use {
-    common::{ScriptedAction, ScriptedUpstreams, StreamEnd, proxy, request, tables},
+    common::{ScriptedAction, ScriptedUpstreams, StreamEnd, proxy, read_events, request, tables},
     rstest::rstest,
     std::{
         sync::Arc,
@@ -14,13 +14,8 @@
     tokio::time::sleep,
     turmerictack_model::ids::InstanceId,
     turmerictack_serving::{
-        directory::Upstream,
-        interfaces::SendError,
-        load::UpstreamOutcome,
-        proxy::Proxy,
-        request::Reply,
-        stream::{EventStream, StreamError},
-        tables::Tables,
+        directory::Upstream, interfaces::SendError, load::UpstreamOutcome, proxy::Proxy,
+        request::Reply, stream::EventStream, tables::Tables,
     },
 };
 
@@ -65,17 +60,6 @@
     (events, upstream(&proxy.tables, other))
 }
 
-async fn read(events: &mut EventStream) -> (String, Result<(), StreamError>) {
-    let mut text = String::new();
-    loop {
-        match events.next().await {
-            Ok(Some(bytes)) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
-            Ok(None) => return (text, Ok(())),
-            Err(error) => return (text, Err(error)),
-        }
-    }
-}
-
 fn paused() -> ScriptedAction {
     ScriptedAction::PausedStream { last: 5, pause_after: 2, pause: PAUSE }
 }
@@ -91,7 +75,7 @@
     let (mut events, other) = start_stream(&proxy, &upstreams, paused()).await;
     occupy(&tables, &other, occupied);
     upstreams.set_default(ScriptedAction::Hang);
-    assert_eq!(read(&mut events).await, (whole_stream(5), Ok(())));
+    assert_eq!(read_events(&mut events).await, (whole_stream(5), Ok(())));
 }
 
 /// Guards against streams that end because the upstream that should take them over does not.
@@ -107,7 +91,7 @@
     let (proxy, upstreams) = proxy(&tables);
     let (mut events, _) = start_stream(&proxy, &upstreams, paused()).await;
     upstreams.set_default(action);
-    assert_eq!(read(&mut events).await, (whole_stream(5), Ok(())));
+    assert_eq!(read_events(&mut events).await, (whole_stream(5), Ok(())));
     assert!(upstreams.sends() <= 2, "{} sends", upstreams.sends());
     drop(events);
     assert_eq!(*upstreams.open_bodies.lock().unwrap(), 0);
@@ -136,5 +120,5 @@
         }
         releasing.dispatch_all_waiting(Instant::now());
     });
-    assert_eq!(read(&mut events).await, (whole_stream(5), Ok(())));
+    assert_eq!(read_events(&mut events).await, (whole_stream(5), Ok(())));
 }
--- a/crates/serving/tests/take_over.rs
+++ b/crates/serving/tests/take_over.rs
@@ -6,8 +6,8 @@
 
 use {
     common::{
-        ScriptedAction, ScriptedUpstreams, StreamEnd, config, group_head, proxy, request, route,
-        tables,
+        ScriptedAction, ScriptedUpstreams, StreamEnd, config, group_head, proxy, read_events,
+        request, route, tables,
     },
     rstest::rstest,
     std::{
@@ -21,7 +21,7 @@
         load::UpstreamOutcome,
         proxy::Proxy,
         request::Reply,
-        stream::{EventStream, StreamError},
+        stream::EventStream,
         tables::Tables,
     },
 };
@@ -53,17 +53,6 @@
     events
 }
 
-async fn read(events: &mut EventStream) -> (String, Result<(), StreamError>) {
-    let mut text = String::new();
-    loop {
-        match events.next().await {
-            Ok(Some(bytes)) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
-            Ok(None) => return (text, Ok(())),
-            Err(error) => return (text, Err(error)),
-        }
-    }
-}
-
 /// Guards against take-overs that are given up although the route allows no further execution.
 #[rstest]
 #[case::two_upstreams(2)]
@@ -77,7 +66,7 @@
     let mut events = start_stream(&proxy, &upstreams, stalls).await;
     let delay = Duration::from_millis(1_200);
     upstreams.set_default(ScriptedAction::SlowStream { last: 5, delay });
-    assert_eq!(read(&mut events).await, (whole_stream(5), Ok(())));
+    assert_eq!(read_events(&mut events).await, (whole_stream(5), Ok(())));
     assert_eq!(upstreams.sends(), MAX_ATTEMPTS);
 }
 
@@ -92,7 +81,7 @@
     let halting = ScriptedAction::HaltingStream { last: 3, pause: Duration::from_millis(800) };
     let mut events = start_stream(&proxy, &upstreams, halting).await;
     upstreams.set_default(ScriptedAction::Hang);
-    assert_eq!(read(&mut events).await, (whole_stream(3), Ok(())));
+    assert_eq!(read_events(&mut events).await, (whole_stream(3), Ok(())));
     let executed_by: BTreeSet<InstanceId> =
         upstreams.sent.lock().unwrap().iter().map(|(instance, _)| instance.clone()).collect();
     assert!(executed_by.len() <= MAX_ATTEMPTS, "executed by {executed_by:?}");
@@ -109,7 +98,7 @@
     let paused = ScriptedAction::PausedStream { last: 5, pause_after: 2, pause };
     let mut events = start_stream(&proxy, &upstreams, paused).await;
     upstreams.set_default(ScriptedAction::Stream { last: 2, end: StreamEnd::Stalled });
-    assert_eq!(read(&mut events).await, (whole_stream(5), Ok(())));
+    assert_eq!(read_events(&mut events).await, (whole_stream(5), Ok(())));
 }
 
 /// Guards against slow clients that make their upstream look stalled.
@@ -169,7 +158,7 @@
     }
     let other = heads.iter().find(|u| u.instance != first).unwrap().key;
     upstreams.set_default(ScriptedAction::Stream { last: 5, end: StreamEnd::Complete });
-    let reading = tokio::spawn(async move { read(&mut events).await });
+    let reading = tokio::spawn(async move { read_events(&mut events).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
     let later = Arc::clone(&proxy);
     tokio::spawn(async move { later.serve(request("notes")).await });
@@ -193,6 +182,6 @@
     let mut events = start_stream(&proxy, &upstreams, breaks).await;
     let delay = Duration::from_millis(400);
     upstreams.set_default(ScriptedAction::SlowStream { last: 5, delay });
-    assert_eq!(read(&mut events).await, (whole_stream(5), Ok(())));
+    assert_eq!(read_events(&mut events).await, (whole_stream(5), Ok(())));
     assert_eq!(upstreams.sends(), MAX_ATTEMPTS);
 }
