--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -37,6 +37,8 @@
 pub type Incarnation = u64;
 /// Version that the platform assigns to a stored object, used for conditional writes.
 pub type Version = u64;
+/// Number of times that the platform's store came back from an older copy of itself.
+pub type Era = u64;
 /// Name of an object in the platform's store, unique within its kind.
 pub type ObjectName = String;
 /// Number of model tokens.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod rank;
 pub mod rate;
 pub mod rendezvous;
+pub mod store_version;
 pub mod table;
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -1,7 +1,7 @@
 //! Directory of listed instances, and the upstream pools derived from it.
 
 use {
-    crate::config::Config,
+    crate::{config::Config, evacuations::Evacuations},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -82,6 +82,7 @@
     /// Start times of the instances that stated in a response that they are leaving.
     leaving: BTreeMap<InstanceId, u64>,
     departures: Departures,
+    evacuations: Evacuations,
     pools: Arc<UpstreamPools>,
     version: u64,
 }
@@ -97,6 +98,17 @@
         &self.instances
     }
 
+    /// Data centres whose upstreams get no requests.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Data centres whose upstreams get no requests; the pools follow with the next
+    /// [`Self::rebuild_pools`].
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
     /// Upstream pools as of the last [`Self::rebuild_pools`].
     pub fn pools(&self) -> &Arc<UpstreamPools> {
         &self.pools
@@ -188,7 +200,8 @@
         }
         let mut pools = UpstreamPools::new();
         for (id, instance) in &self.instances {
-            if self.is_leaving(id, instance) {
+            let is_evacuated = self.evacuations.is_evacuated(&instance.data_centre);
+            if is_evacuated || self.is_leaving(id, instance) {
                 continue;
             }
             let Some(service) = config.services.get(&instance.service) else { continue };
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -1,8 +1,9 @@
 //! Serving core of an entry node.
 //!
 //! Routing and scheduling decisions are plain code over [`tables::Tables`]: [`config`] defines the
-//! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams, [`load`] and [`queue`] choose an upstream and the time to
-//! send, and [`attempts`] decides on retries. [`proxy::Proxy`] takes a request through them. Front
+//! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
+//! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, and
+//! [`attempts`] decides on retries. [`proxy::Proxy`] takes a request through them. Front
 //! ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! neither message encodings nor sockets.
 
@@ -10,6 +11,7 @@
 pub mod config;
 pub mod config_state;
 pub mod directory;
+pub mod evacuations;
 mod flap_damping;
 pub mod group_controller;
 pub mod heartbeat;
