Send nothing to evacuated data centres

Operators may ask that the instances of a data centre get nothing more. The directory knew the evacuated data centres, but nothing changed them, and only the pools obeyed.

Now a change of the evacuations rebuilds the pools in the same step. A place that was chosen before is given back before the send and chosen again, so first sends, retries and resumptions are bound. Requests of a pool that has lost all upstreams to evacuations are refused at once, on arrival and in the queue (503, not run, reason=evacuated); a resumption stays in the queue, since its response has begun. Where evacuations are requested but unread, the pools are empty and requests are refused.

--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -10,7 +10,7 @@
     turmerictack_groups::formation::{Departures, EngineInstance, Membership, Phase},
     turmerictack_model::{
         digest::hash64,
-        ids::{Address, DataCentre, FabricDomain, GroupId, InstanceId, ModelId, ServiceId},
+        ids::{Address, DataCentre, Epoch, FabricDomain, GroupId, InstanceId, ModelId, ServiceId},
     },
     turmerictack_protocol::heartbeat::UpstreamKey,
 };
@@ -74,6 +74,9 @@
 /// Upstreams by pool.
 pub type UpstreamPools = BTreeMap<PoolKey, Vec<Arc<Upstream>>>;
 
+/// Number of members by group and epoch.
+type GroupSizes = BTreeMap<(GroupId, Epoch), usize>;
+
 /// All listed instances and the upstream pools derived from them.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -83,6 +86,8 @@
     leaving: BTreeMap<InstanceId, u64>,
     departures: Departures,
     evacuations: Evacuations,
+    /// Pools whose upstreams are all in evacuated data centres.
+    evacuated_pools: BTreeSet<PoolKey>,
     pools: Arc<UpstreamPools>,
     version: u64,
 }
@@ -98,6 +103,11 @@
         &self.instances
     }
 
+    /// Number of listed instances in a data centre.
+    pub fn instance_count(&self, data_centre: &str) -> usize {
+        self.instances.values().filter(|i| i.data_centre == data_centre).count()
+    }
+
     /// Data centres whose upstreams get no requests.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
@@ -114,6 +124,12 @@
         &self.pools
     }
 
+    /// Whether all upstreams of a pool are in evacuated data centres, as of the last
+    /// [`Self::rebuild_pools`].
+    pub fn is_pool_evacuated(&self, pool: &PoolKey) -> bool {
+        self.evacuated_pools.contains(pool)
+    }
+
     /// Counter that increases with each rebuild.
     pub fn version(&self) -> u64 {
         self.version
@@ -189,47 +205,34 @@
             self.departures.observe(now, id, instance.started_ms, group);
         }
         self.departures.expire(now);
-        let mut members: BTreeMap<(&GroupId, u64), usize> = BTreeMap::new();
+        let (mut pools, mut evacuated) = (UpstreamPools::new(), UpstreamPools::new());
+        if !self.evacuations.is_unread() {
+            let members = self.ready_members();
+            for (id, instance) in &self.instances {
+                let is_evacuated = self.evacuations.is_evacuated(&instance.data_centre);
+                let pools = if is_evacuated { &mut evacuated } else { &mut pools };
+                if !self.is_leaving(id, instance) {
+                    add_to_pools(config, id, instance, &members, pools);
+                }
+            }
+        }
+        self.evacuated_pools = evacuated.into_keys().filter(|k| !pools.contains_key(k)).collect();
+        self.pools = Arc::new(pools);
+        self.version += 1;
+    }
+
+    /// Number of members of each group, by its epoch, that can serve.
+    fn ready_members(&self) -> GroupSizes {
+        let mut members = GroupSizes::new();
         for (id, instance) in &self.instances {
             if let Some(m) = instance.membership()
                 && !self.is_leaving(id, instance)
                 && matches!(m.phase, Phase::Ready | Phase::Open)
             {
-                *members.entry((&m.group, m.epoch)).or_default() += 1;
-            }
-        }
-        let mut pools = UpstreamPools::new();
-        for (id, instance) in &self.instances {
-            let is_evacuated = self.evacuations.is_evacuated(&instance.data_centre);
-            if is_evacuated || self.is_leaving(id, instance) {
-                continue;
-            }
-            let Some(service) = config.services.get(&instance.service) else { continue };
-            let Some(profile) = &service.engine else {
-                let pool = (instance.service.clone(), None);
-                pools
-                    .entry(pool)
-                    .or_default()
-                    .push(Arc::new(build_upstream(id, instance, None, false)));
-                continue;
-            };
-            let (Some(engine), Some(m)) = (&instance.engine, instance.membership()) else {
-                continue;
-            };
-            if m.rank != 0 || m.phase != Phase::Open {
-                continue;
-            }
-            let present = members.get(&(&m.group, m.epoch)).copied().unwrap_or(0);
-            for model in &engine.loaded_models {
-                let Some(size) = profile.models.get(model).map(|p| p.group_size) else { continue };
-                let group = Some(m.group.clone());
-                let pool = (instance.service.clone(), Some(model.clone()));
-                let upstream = build_upstream(id, instance, group, present < size);
-                pools.entry(pool).or_default().push(Arc::new(upstream));
+                *members.entry((m.group.clone(), m.epoch)).or_default() += 1;
             }
         }
-        self.pools = Arc::new(pools);
-        self.version += 1;
+        members
     }
 
     /// Engine instances in the form that group formation takes.
@@ -269,6 +272,32 @@
     (hash64(&[id.as_bytes()]) >> u32::BITS) as UpstreamKey
 }
 
+/// Adds an instance to the pools that it serves.
+fn add_to_pools(
+    config: &Config,
+    id: &InstanceId,
+    instance: &Instance,
+    members: &GroupSizes,
+    pools: &mut UpstreamPools,
+) {
+    let mut add = |model, group, is_incomplete| {
+        let upstream = build_upstream(id, instance, group, is_incomplete);
+        pools.entry((instance.service.clone(), model)).or_default().push(Arc::new(upstream));
+    };
+    let Some(service) = config.services.get(&instance.service) else { return };
+    let Some(profile) = &service.engine else { return add(None, None, false) };
+    let (Some(engine), Some(m)) = (&instance.engine, instance.membership()) else { return };
+    if m.rank != 0 || m.phase != Phase::Open {
+        return;
+    }
+    let present = members.get(&(m.group.clone(), m.epoch)).copied().unwrap_or(0);
+    for model in &engine.loaded_models {
+        if let Some(size) = profile.models.get(model).map(|p| p.group_size) {
+            add(Some(model.clone()), Some(m.group.clone()), present < size);
+        }
+    }
+}
+
 fn build_upstream(
     id: &InstanceId,
     instance: &Instance,
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -31,7 +31,8 @@
     turmerictack_model::{clock::Clock, ids::DataCentre},
 };
 
-/// Retry delay suggested to clients of a node that has no configuration yet.
+/// Retry delay suggested to clients of a node that has no configuration yet, or doesn't know yet which
+/// data centres are evacuated.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Minimum retry delay suggested to clients.
@@ -95,7 +96,8 @@
     }
 
     fn prepare(&self, request: Request) -> Result<RequestContext, Box<(Request, Rejection)>> {
-        let Some(config) = self.tables.config() else {
+        let is_unread = self.tables.directory.lock().evacuations().is_unread();
+        let Some(config) = self.tables.config().filter(|_| !is_unread) else {
             let rejection =
                 Rejection::not_executed(Reason::NotConfigured, UNCONFIGURED_RETRY_AFTER);
             return Err(Box::new((request, rejection)));
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -19,6 +19,10 @@
     turmerictack_model::clock::Clock,
 };
 
+/// Retry delay suggested to clients if all upstreams are evacuated; groups elsewhere take some seconds
+/// to form.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// Estimated age above which a request counts as a retry by the client.
 const MIN_CLIENT_RETRY_AGE: Duration = Duration::from_millis(100);
 
@@ -84,15 +88,27 @@
     ///
     /// A request that was quarantined in the meantime, by itself or for its prompt, is rejected, and
     /// so is one whose API key was revoked or may have been, or whose response would not be complete
-    /// before the end of a shutdown.
+    /// before the end of a shutdown. A slot whose data centre was evacuated in the meantime is given
+    /// back for another one.
     pub(crate) async fn acquire_permit(
         &self,
         context: &RequestContext,
         attempts: &Attempts,
     ) -> Result<Permit, Rejection> {
-        let permit = self.wait_for_permit(context, attempts).await?;
-        self.check_send(context, attempts)?;
-        Ok(permit)
+        loop {
+            let permit = self.wait_for_permit(context, attempts).await?;
+            self.check_send(context, attempts)?;
+            if !self.tables.is_evacuated(&permit.upstream.data_centre) {
+                return Ok(permit);
+            }
+            self.give_back(permit);
+        }
+    }
+
+    /// Gives back a slot that was not used.
+    fn give_back(&self, permit: Permit) {
+        let now = self.clock.now();
+        self.tables.balancer.lock().loads.rate_limits.cancel_send(now, &permit.upstream);
     }
 
     /// Rejects a request that may not be sent now, whatever the load of the upstreams.
@@ -167,6 +183,7 @@
                     if excluded.is_empty() { Reason::QueueFull } else { Reason::UpstreamsRejected };
                 return Err(rejection_after(attempts, reason, MIN_RETRY_AFTER));
             }
+            Placement::Evacuated => return Err(evacuated(attempts)),
         };
         let mut queued = QueuedRequest { proxy: self, context, ticket, assigned };
         loop {
@@ -177,8 +194,9 @@
             tokio::select! {
                 biased;
                 assigned = queued.assignment(expires_at) => return match assigned {
-                    Some(upstream) => Ok(self.permit(context, upstream)),
-                    None => {
+                    Assignment::Upstream(upstream) => Ok(self.permit(context, upstream)),
+                    Assignment::Evacuated => Err(evacuated(attempts)),
+                    Assignment::TimedOut => {
                         let wait = expires_at.saturating_duration_since(now);
                         Err(rejection_after(attempts, Reason::QueueTimeout, wait))
                     }
@@ -235,6 +253,16 @@
     }
 }
 
+/// End of the wait for a slot.
+enum Assignment {
+    /// A slot at an upstream.
+    Upstream(Arc<Upstream>),
+    /// All upstreams are in evacuated data centres.
+    Evacuated,
+    /// There was no slot in time.
+    TimedOut,
+}
+
 /// A request in the queue.
 ///
 /// Dropping it, for example when its client disconnects, removes it from the queue and releases a
@@ -247,12 +275,14 @@
 }
 
 impl QueuedRequest<'_> {
-    /// Waits for a slot at an upstream; `None` if there is none in time.
-    async fn assignment(&mut self, expires_at: Instant) -> Option<Arc<Upstream>> {
+    /// Waits for a slot at an upstream.
+    async fn assignment(&mut self, expires_at: Instant) -> Assignment {
         tokio::select! {
             biased;
-            assigned = &mut self.assigned => assigned.ok(),
-            () = sleep_until(expires_at.into()) => None,
+            assigned = &mut self.assigned => {
+                assigned.map_or(Assignment::Evacuated, Assignment::Upstream)
+            }
+            () = sleep_until(expires_at.into()) => Assignment::TimedOut,
         }
     }
 }
@@ -262,13 +292,15 @@
         self.proxy.tables.cancel_wait(&self.context.pool, self.ticket);
         // Nothing is assigned once the request has left the queue.
         if let Ok(upstream) = self.assigned.try_recv() {
-            let now = self.proxy.clock.now();
-            self.proxy.tables.balancer.lock().loads.rate_limits.cancel_send(now, &upstream);
-            drop(self.proxy.permit(self.context, upstream));
+            self.proxy.give_back(self.proxy.permit(self.context, upstream));
         }
     }
 }
 
+fn evacuated(attempts: &Attempts) -> Rejection {
+    rejection_after(attempts, Reason::Evacuated, EVACUATED_RETRY_AFTER)
+}
+
 fn rejection_after(attempts: &Attempts, reason: Reason, wait: Duration) -> Rejection {
     if attempts.may_have_executed() {
         Rejection::unknown(reason)
--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -181,6 +181,11 @@
         self.waiting.remove(&ticket).map(|(_, request)| request)
     }
 
+    /// Removes all requests but those that `is_kept` selects.
+    pub fn retain(&mut self, is_kept: impl Fn(&SchedulingParams) -> bool) {
+        self.waiting.retain(|_, (params, _)| is_kept(params));
+    }
+
     /// The request that has waited longest.
     pub fn peek_oldest(&self) -> Option<(Ticket, SchedulingParams, &T)> {
         let (ticket, (params, request)) = self.waiting.first_key_value()?;
--- a/crates/serving/src/rejection.rs
+++ b/crates/serving/src/rejection.rs
@@ -20,6 +20,8 @@
     Quarantined,
     /// no_upstream
     NoUpstream,
+    /// evacuated
+    Evacuated,
     /// predicted_wait
     PredictedWait,
     /// rate_limited
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -41,7 +41,7 @@
 pub struct Waiter {
     /// Upstreams that failed or rejected the request.
     pub excluded: Vec<InstanceId>,
-    /// Sends the assigned upstream to the waiting task.
+    /// Sends the assigned upstream to the waiting task; dropped if all upstreams are evacuated.
     pub assignment: oneshot::Sender<Arc<Upstream>>,
 }
 
@@ -112,6 +112,8 @@
     WaitTooLong(Duration),
     /// Every upstream has failed the request, or the queue is full.
     Unavailable,
+    /// All upstreams are in evacuated data centres.
+    Evacuated,
 }
 
 impl Tables {
@@ -182,8 +184,19 @@
 
     /// Rebuilds the upstream pools after a change of instances or configuration.
     pub fn rebuild_upstreams(&self, now: Instant) {
-        let Some(config) = self.config() else { return };
+        self.rebuild_upstreams_after(now, |_| ());
+    }
+
+    /// Changes the directory and rebuilds the upstream pools in one step.
+    pub(crate) fn rebuild_upstreams_after<R>(
+        &self,
+        now: Instant,
+        change: impl FnOnce(&mut Directory) -> R,
+    ) -> R {
+        let config = self.config();
         let mut directory = self.directory.lock();
+        let result = change(&mut directory);
+        let Some(config) = config else { return result };
         directory.rebuild_pools(now, &config);
         let pools = Arc::clone(directory.pools());
         let mut balancer = self.balancer.lock();
@@ -193,7 +206,9 @@
         drop(balancer);
         self.update_crashes(|crashes| crashes.apply_states(now, |run| run_state(&directory, run)));
         drop(directory);
+        self.refuse_evacuated();
         self.dispatch_all_waiting(now);
+        result
     }
 
     /// Takes no more requests to an upstream that is about to be stopped; returns `false` if that was
@@ -243,7 +258,12 @@
         excluded: &[InstanceId],
         data_centre: &DataCentre,
     ) -> Placement {
-        let pools = Arc::clone(self.directory.lock().pools());
+        let directory = self.directory.lock();
+        let is_evacuated = directory.is_pool_evacuated(pool);
+        if is_evacuated && !params.is_resumption {
+            return Placement::Evacuated;
+        }
+        let pools = Arc::clone(directory.pools());
         let upstreams = pools.get(pool).map_or(&[][..], |u| u.as_slice());
         let mut balancer = self.balancer.lock();
         let mut queues = self.queues.lock();
@@ -253,20 +273,16 @@
         }
         if queue.is_empty() || !excluded.is_empty() {
             let Balancer { loads, rng, .. } = &mut *balancer;
-            match loads.select(
-                now,
-                upstreams,
-                excluded,
-                data_centre,
-                params.reserved_share(now),
-                rng,
-            ) {
+            let reserved_share = params.reserved_share(now);
+            match loads.select(now, upstreams, excluded, data_centre, reserved_share, rng) {
                 Selection::Upstream(upstream) => {
                     loads.acquire(now, &upstream, params.prompt_tokens);
                     queue.record_dispatch(now, &params);
                     return Placement::Assigned(upstream);
                 }
-                Selection::NoCandidate if !excluded.is_empty() => return Placement::Unavailable,
+                Selection::NoCandidate if !excluded.is_empty() && !is_evacuated => {
+                    return Placement::Unavailable;
+                }
                 Selection::NoCandidate | Selection::Saturated => {}
             }
         }
--- a/crates/serving/tests/burst.rs
+++ b/crates/serving/tests/burst.rs
@@ -95,7 +95,7 @@
         let state = match placement {
             Placement::Assigned(upstream) => self.start(now, now, upstream),
             Placement::Queued(ticket, assigned) => State::Queued(ticket, assigned),
-            Placement::WaitTooLong(_) | Placement::Unavailable => return,
+            Placement::WaitTooLong(_) | Placement::Unavailable | Placement::Evacuated => return,
         };
         self.requests.push(SimulatedRequest { node, received_at: now, params, state });
     }
--- a/crates/serving/tests/common/limited_cluster.rs
+++ b/crates/serving/tests/common/limited_cluster.rs
@@ -298,7 +298,9 @@
                     let expires_at = params.expires_at;
                     self.nodes[node].waiting.push(Waiting { ticket, expires_at, assigned });
                 }
-                Placement::WaitTooLong(_) | Placement::Unavailable => self.refused += 1,
+                Placement::WaitTooLong(_) | Placement::Unavailable | Placement::Evacuated => {
+                    self.refused += 1;
+                }
             }
         }
     }
