Keep groups of evacuated data centres as they are, and plan without them

The planner took the engines of an evacuated data centre for capacity and spares, and sent orders and probes there.

Now such engines get no orders and no probes, and are neither free nor spare. Groups there stay as planned, also while they are being formed or retired, and serve again after the return. The partition of the domains and the supply of the models leave them out, so that free instances elsewhere serve the models that have lost their groups. Loads that were planned but not ordered are dropped. A node that has not read the evacuations can't lead.

Histories have evacuations as a third kind of faults; an order to an evacuated engine is a violation. The leader of the test of spares moved to the fabric, to be shared.

--- a/crates/groups/src/formation/loads.rs
+++ b/crates/groups/src/formation/loads.rs
@@ -118,7 +118,12 @@
         self.sync_with_plan(now, plan);
         for (id, model) in &plan.loads {
             let engine = view.engines.get(id).filter(|e| !e.leaving);
-            if self.failed.remove(id) || self.is_finished(now, models, engine, id, model) {
+            let is_cancelled =
+                self.unsent.contains(id) && engine.is_some_and(|e| view.is_evacuated(e));
+            if is_cancelled
+                || self.failed.remove(id)
+                || self.is_finished(now, models, engine, id, model)
+            {
                 next.loads.remove(id);
                 self.running.remove(id);
                 self.unsent.remove(id);
--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -167,6 +167,8 @@
     pub has_traffic: bool,
     /// Time since which a group has lacked a member, as observed by this node.
     pub incomplete_since: BTreeMap<GroupId, Instant>,
+    /// Data centres whose instances get no orders, and whose groups do not serve.
+    pub evacuated: BTreeSet<DataCentre>,
 }
 
 impl ClusterView {
@@ -174,6 +176,17 @@
     fn reachable(&self, id: &str) -> Option<&EngineInstance> {
         self.engines.get(id).filter(|_| !self.unreachable.contains(id))
     }
+
+    /// Whether an instance is in an evacuated data centre.
+    fn is_evacuated(&self, engine: &EngineInstance) -> bool {
+        self.evacuated.contains(&engine.data_centre)
+    }
+
+    /// Whether any listed member of a group is in an evacuated data centre.
+    fn is_group_evacuated(&self, group: &PlannedGroup) -> bool {
+        let mut members = group.members.iter().filter_map(|id| self.engines.get(id));
+        members.any(|engine| self.is_evacuated(engine))
+    }
 }
 
 /// Models of each service, with their requirements.
@@ -204,8 +217,8 @@
     retirements: BTreeMap<GroupId, Retirement>,
     /// Groups whose listed members have all been ready at the same time.
     complete_groups: BTreeSet<GroupId>,
-    /// Last known addresses, also of instances that are no longer listed.
-    addresses: BTreeMap<InstanceId, Address>,
+    /// Last known addresses and data centres, also of instances that are no longer listed.
+    addresses: BTreeMap<InstanceId, (Address, DataCentre)>,
     /// Start time and model of each instance in its last planned group.
     last_models: BTreeMap<InstanceId, (u64, ModelId)>,
     loads: LoadTracker,
@@ -280,6 +293,9 @@
         let mut actions = Actions::default();
         let mut next = plan.clone();
         for (group_id, group) in &plan.groups {
+            if self.is_evacuated(view, group) {
+                continue;
+            }
             if self.can_reassign_members(now, view, group_id, group) {
                 next.groups.remove(group_id);
                 continue;
@@ -302,11 +318,18 @@
         actions
     }
 
+    /// Whether a group stands in an evacuated data centre, and so stays as it is until the return.
+    fn is_evacuated(&self, view: &ClusterView, group: &PlannedGroup) -> bool {
+        let mut places = group.members.iter().filter_map(|id| self.addresses.get(id));
+        places.any(|(_, data_centre)| view.evacuated.contains(data_centre))
+    }
+
     /// Updates addresses and last models from the view, and discards expired orders and the state
     /// of removed groups.
     fn update_state(&mut self, now: Instant, view: &ClusterView, plan: &Plan) {
         for (id, engine) in &view.engines {
-            self.addresses.insert(id.clone(), engine.address.clone());
+            let address = (engine.address.clone(), engine.data_centre.clone());
+            self.addresses.insert(id.clone(), address);
             let group = engine.membership.as_ref().and_then(|m| plan.groups.get(&m.group));
             if let Some(group) = group {
                 self.last_models.insert(id.clone(), (engine.started, group.model.clone()));
--- a/crates/groups/src/formation/retirement.rs
+++ b/crates/groups/src/formation/retirement.rs
@@ -124,7 +124,7 @@
         let leave = Order::Leave { group: order_group, epoch };
         let head_has_left =
             self.retirements.get(group_id).is_some_and(|r| r.departed.contains(head));
-        if !head_has_left && let Some(address) = self.addresses.get(head).cloned() {
+        if !head_has_left && let Some((address, _)) = self.addresses.get(head).cloned() {
             let is_unreachable = view.reachable(head).is_none();
             self.send_order_to(now, head, &address, leave.clone(), is_unreachable, actions);
         }
--- a/crates/groups/src/formation/selection.rs
+++ b/crates/groups/src/formation/selection.rs
@@ -9,13 +9,13 @@
     },
     crate::{
         partition::{DomainState, ModelProfiles, Partition, divide_spares, partition},
-        plan::Plan,
+        plan::{Plan, PlannedGroup},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
-    turmerictack_model::ids::{FabricDomain, InstanceId, ModelId, ServiceId},
+    turmerictack_model::ids::{DataCentre, FabricDomain, InstanceId, ModelId, ServiceId},
 };
 
 /// Time for which an instance that is gone still counts towards the size of its domain.
@@ -49,8 +49,9 @@
 type FreeInstances = BTreeMap<ServiceDomain, BTreeSet<InstanceId>>;
 
 /// Largest recent number of instances of a domain.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct DomainSize {
+    data_centre: DataCentre,
     instances: usize,
     seen_at: Instant,
 }
@@ -132,24 +133,29 @@
         }
     }
 
-    /// Updates the sizes of the domains from the listed instances that are not leaving.
+    /// Updates the sizes of the domains from the listed instances that are not leaving; domains in
+    /// evacuated data centres have none.
     fn update_domain_sizes(&mut self, now: Instant, view: &ClusterView) {
-        let mut listed: BTreeMap<ServiceDomain, usize> = BTreeMap::new();
-        for engine in view.engines.values().filter(|e| !e.leaving) {
-            *listed.entry((engine.service.clone(), engine.domain.clone())).or_default() += 1;
+        let mut listed: BTreeMap<ServiceDomain, DomainSize> = BTreeMap::new();
+        for engine in view.engines.values().filter(|e| !e.leaving && !view.is_evacuated(e)) {
+            let domain = (engine.service.clone(), engine.domain.clone());
+            let data_centre = engine.data_centre.clone();
+            let none = DomainSize { data_centre, instances: 0, seen_at: now };
+            listed.entry(domain).or_insert(none).instances += 1;
         }
         self.domain_sizes.retain(|domain, size| {
-            listed.contains_key(domain) || now < size.seen_at + SIZE_RETENTION
+            let is_recent = listed.contains_key(domain) || now < size.seen_at + SIZE_RETENTION;
+            is_recent && !view.evacuated.contains(&size.data_centre)
         });
-        for (domain, instances) in listed {
-            let size =
-                self.domain_sizes.entry(domain).or_insert(DomainSize { instances, seen_at: now });
+        for (domain, current) in listed {
+            let instances = current.instances;
+            let size = self.domain_sizes.entry(domain).or_insert(current.clone());
             if instances > size.instances || size.seen_at == now {
                 let first_at = self.arrival.map_or(now, |arrival| arrival.first_at);
                 self.arrival = Some(Arrival { first_at, last_at: now });
             }
             if instances >= size.instances || now >= size.seen_at + SIZE_RETENTION {
-                *size = DomainSize { instances, seen_at: now };
+                *size = current;
             }
         }
     }
@@ -180,7 +186,9 @@
                 }
             }
         }
-        for group in plan.groups.values().filter(|g| g.service == *service && !g.retiring) {
+        let stays =
+            |g: &&PlannedGroup| g.service == *service && !g.retiring && !view.is_group_evacuated(g);
+        for group in plan.groups.values().filter(stays) {
             let domain = group.members.iter().find_map(|id| view.engines.get(id));
             let Some(domain) = domain.map(|e| (service.clone(), e.domain.clone())) else {
                 continue;
@@ -220,7 +228,8 @@
             plan.groups.values().flat_map(|g| &g.members).collect();
         let mut free = FreeInstances::new();
         for (id, engine) in &view.engines {
-            if engine.leaving || planned.contains(id) || view.unreachable.contains(id) {
+            let is_usable = !engine.leaving && !view.is_evacuated(engine);
+            if !is_usable || planned.contains(id) || view.unreachable.contains(id) {
                 continue;
             }
             if !self.has_left_other_groups(now, id, engine, "", actions) {
--- a/crates/groups/src/formation/supply.rs
+++ b/crates/groups/src/formation/supply.rs
@@ -27,7 +27,7 @@
     }
 
     /// Adds the planned groups of a service that are not retiring. Groups with a missing or
-    /// unreachable member do not serve, so they are left out too.
+    /// unreachable member, or in an evacuated data centre, do not serve, so they are left out too.
     pub(super) fn with_planned_groups(
         mut self,
         service: &ServiceId,
@@ -36,7 +36,7 @@
     ) -> Self {
         let stays = |g: &&PlannedGroup| {
             let all_reachable = g.members.iter().all(|id| view.reachable(id).is_some());
-            g.service == *service && !g.retiring && all_reachable
+            g.service == *service && !g.retiring && all_reachable && !view.is_group_evacuated(g)
         };
         for group in plan.groups.values().filter(stays) {
             self.add(&group.model, group.members.len());
--- a/crates/groups/tests/fabric/mod.rs
+++ b/crates/groups/tests/fabric/mod.rs
@@ -2,13 +2,15 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
+pub mod leader;
+
 use {
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
     turmerictack_groups::formation::{EngineInstance, Membership, Order, OrderResult, Phase},
-    turmerictack_model::ids::{Epoch, GroupId, InstanceId, ModelId},
+    turmerictack_model::ids::{DataCentre, Epoch, GroupId, InstanceId, ModelId},
 };
 
 /// Time after which a head detects a missing member.
@@ -61,6 +63,11 @@
     pub accepts_old_epochs: bool,
 }
 
+/// Data centre of a domain; each has its own.
+pub fn data_centre_of(domain: &str) -> DataCentre {
+    format!("dc-{domain}")
+}
+
 impl Engine {
     pub fn is_up(&self) -> bool {
         self.down_until.is_none() && !self.removed
@@ -190,7 +197,7 @@
                     address: id.clone(),
                     service: "models".to_owned(),
                     domain: engine.domain.clone(),
-                    data_centre: "dc".to_owned(),
+                    data_centre: data_centre_of(&engine.domain),
                     leaving: engine.leaving,
                     started: engine.started,
                     staged: staged.collect(),
--- a/crates/groups/tests/formation_histories.rs
+++ b/crates/groups/tests/formation_histories.rs
@@ -5,7 +5,7 @@
 mod fabric;
 
 use {
-    fabric::{LOAD_TIME, STALL_TIMEOUT, SimulatedCluster},
+    fabric::{LOAD_TIME, STALL_TIMEOUT, SimulatedCluster, data_centre_of},
     rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _},
     rand_pcg::Pcg64Mcg,
     rstest::rstest,
@@ -21,7 +21,7 @@
         },
         plan::Plan,
     },
-    turmerictack_model::ids::{InstanceId, Version},
+    turmerictack_model::ids::{DataCentre, InstanceId, Version},
 };
 
 const STEP: Duration = Duration::from_millis(100);
@@ -76,12 +76,23 @@
     delayed_share: f64,
     /// Periods with a second leader, per second.
     second_leader_per_second: f64,
+    /// Evacuations of a data centre, per second.
+    evacuations_per_second: f64,
 }
 
-const MODERATE: FaultRates =
-    FaultRates { delays_per_second: 0.05, delayed_share: 0.35, second_leader_per_second: 0.1 };
-const HEAVY: FaultRates =
-    FaultRates { delays_per_second: 0.4, delayed_share: 0.6, second_leader_per_second: 0.3 };
+const MODERATE: FaultRates = FaultRates {
+    delays_per_second: 0.05,
+    delayed_share: 0.35,
+    second_leader_per_second: 0.1,
+    evacuations_per_second: 0.0,
+};
+const HEAVY: FaultRates = FaultRates {
+    delays_per_second: 0.4,
+    delayed_share: 0.6,
+    second_leader_per_second: 0.3,
+    evacuations_per_second: 0.0,
+};
+const EVACUATIONS: FaultRates = FaultRates { evacuations_per_second: 0.1, ..MODERATE };
 
 struct Simulation {
     rates: FaultRates,
@@ -93,6 +104,7 @@
     store_down_until: Duration,
     delays_until: Duration,
     second_leader_until: Duration,
+    evacuated_until: Duration,
 }
 
 fn models() -> ModelsByService {
@@ -114,9 +126,16 @@
             store_down_until: Duration::ZERO,
             delays_until: Duration::ZERO,
             second_leader_until: Duration::ZERO,
+            evacuated_until: Duration::ZERO,
         }
     }
 
+    /// Evacuated data centres.
+    fn evacuated(&self) -> BTreeSet<DataCentre> {
+        let is_evacuated = self.cluster.now < self.evacuated_until;
+        is_evacuated.then(|| data_centre_of("d1")).into_iter().collect()
+    }
+
     fn chance(&mut self, per_second: f64) -> bool {
         self.rng.random::<f64>() < per_second * STEP.as_secs_f64()
     }
@@ -186,6 +205,10 @@
         if self.chance(0.05) {
             self.nodes[0] = Node::new();
         }
+        let evacuations = self.rates.evacuations_per_second;
+        if evacuations > 0.0 && self.chance(evacuations) {
+            self.evacuated_until = now + self.random_duration(2.0..10.0);
+        }
     }
 
     /// Sends an order; partitioned engines do not receive it.
@@ -262,9 +285,15 @@
             progressing: BTreeSet::new(),
             has_traffic: true,
             incomplete_since: self.nodes[index].departures.by_group(),
+            evacuated: self.evacuated(),
         };
         let actions = self.nodes[index].planner.next_actions(instant, &models(), &view, &plan);
         for (id, _, order) in actions.orders {
+            let domain = self.cluster.engines.get(&id).map_or("", |engine| &engine.domain);
+            if view.evacuated.contains(&data_centre_of(domain)) {
+                let violation = format!("order to evacuated {id} at {now:?}: {order:?}");
+                self.cluster.violations.push(violation);
+            }
             let result = self.send_order(&id, &order);
             self.cluster.trace.push(format!("{now:?} node{index} {id} {order:?} {result:?}"));
             self.nodes[index].results.push((id, order, result));
@@ -296,6 +325,7 @@
             self.step();
         }
         self.second_leader_until = Duration::ZERO;
+        self.evacuated_until = Duration::ZERO;
         for node in &mut self.nodes {
             node.paused_until = Duration::ZERO;
         }
@@ -409,7 +439,7 @@
 
 #[rstest]
 fn histories_violate_no_invariant_and_end_with_all_groups_serving(
-    #[values(MODERATE, HEAVY)] rates: FaultRates,
+    #[values(MODERATE, HEAVY, EVACUATIONS)] rates: FaultRates,
 ) {
     let count = env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
     let first = env::var("FIRST_SEED").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
--- a/crates/serving/src/group_controller.rs
+++ b/crates/serving/src/group_controller.rs
@@ -26,7 +26,7 @@
     },
     turmerictack_model::{
         clock::Clock,
-        ids::{Address, GroupId, InstanceId, Version},
+        ids::{Address, DataCentre, GroupId, InstanceId, Version},
     },
     turmerictack_telemetry::logs,
 };
@@ -139,8 +139,9 @@
 
     fn should_lead(&self, was_leader: bool) -> bool {
         let now = self.clock.now();
-        let eligible =
-            self.tables.has_own_fresh_view(now) && !self.tables.lifecycle.lock().draining;
+        let eligible = self.tables.has_own_fresh_view(now)
+            && !self.tables.directory.lock().evacuations().is_unread()
+            && !self.tables.lifecycle.lock().draining;
         let own = LeaderStatus { eligible, is_leader: was_leader };
         self.tables.peers.lock().should_lead(now, &self.identity.address, own)
     }
@@ -286,14 +287,15 @@
     }
 
     fn build_view(&self, state: &mut LeaderState, now: Instant, plan: &Plan) -> ClusterView {
-        {
+        let evacuated = {
             let directory = self.tables.directory.lock();
             if state.directory_version != directory.version() {
                 state.directory_version = directory.version();
                 state.engines = Arc::new(directory.engine_instances());
                 state.incomplete_since = directory.incomplete_groups();
             }
-        }
+            directory.evacuations().evacuated().keys().cloned().collect()
+        };
         let (suspects, progressing, has_traffic) = {
             let balancer = self.tables.balancer.lock();
             let has_traffic = balancer.loads.has_in_flight();
@@ -305,7 +307,7 @@
                 .collect();
             (suspects, progressing_heads, has_traffic)
         };
-        self.probe_suspects(state, now, plan, &suspects);
+        self.probe_suspects(state, now, plan, &suspects, &evacuated);
         let unreachable = state
             .probes
             .iter()
@@ -318,17 +320,19 @@
             progressing,
             incomplete_since: state.incomplete_since.clone(),
             has_traffic,
+            evacuated,
         }
     }
 
     /// Probes suspected instances, all other members of their groups, and instances that missed a
-    /// probe.
+    /// probe; but none in evacuated data centres.
     fn probe_suspects(
         &self,
         state: &mut LeaderState,
         now: Instant,
         plan: &Plan,
         suspects: &[InstanceId],
+        evacuated: &BTreeSet<DataCentre>,
     ) {
         let mut to_probe: BTreeSet<InstanceId> = suspects.iter().cloned().collect();
         for group in plan.groups.values() {
@@ -345,7 +349,8 @@
         to_probe
             .extend(state.probes.iter().filter(|(_, p)| p.missed > 0).map(|(id, _)| id.clone()));
         for id in to_probe {
-            let Some(engine) = engines.get(&id) else { continue };
+            let engine = engines.get(&id).filter(|e| !evacuated.contains(&e.data_centre));
+            let Some(engine) = engine else { continue };
             let probe = state.probes.entry(id.clone()).or_default();
             if probe.sent_at.is_some_and(|at| now < at + PROBE_INTERVAL) {
                 continue;
