Follow the evacuations that operators request on the platform

Nothing read the objects at evacuations/ZONE. The times of relays follow from half of the bound.

The inner protocol has version 4, since a request may name the new kind.

--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -10,7 +10,7 @@
 };
 
 /// Version of the message format; the handshake fails between nodes of different versions.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// State of a node in the membership protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -108,6 +108,8 @@
     Configuration,
     /// Instances.
     Instances,
+    /// Evacuations of data centres.
+    Evacuations,
 }
 
 /// Change of an object of the platform's store.
--- a/crates/serving/src/relay/board.rs
+++ b/crates/serving/src/relay/board.rs
@@ -32,6 +32,7 @@
 pub struct FactBoard {
     configuration: Section,
     instances: Section,
+    evacuations: Section,
 }
 
 impl FactBoard {
@@ -39,6 +40,7 @@
         match kind {
             FactKind::Configuration => &self.configuration,
             FactKind::Instances => &self.instances,
+            FactKind::Evacuations => &self.evacuations,
         }
     }
 
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -25,6 +25,8 @@
     Configuration,
     /// instances
     Instances,
+    /// evacuations
+    Evacuations,
 }
 
 /// Change of a stored object.
--- a/crates/serving/tests/relay.rs
+++ b/crates/serving/tests/relay.rs
@@ -306,6 +306,8 @@
     nodes: usize,
     data_centres: usize,
     times: RelayTimes,
+    /// Time within which calm nodes have to follow a change.
+    bound: Duration,
     has_faults: bool,
 }
 
@@ -319,7 +321,7 @@
 impl History {
     fn new(seed: u64, nodes: usize, has_faults: bool) -> Self {
         let times = RelayTimes::new(BOUND);
-        Self { seed, nodes, data_centres: 5, times, has_faults }
+        Self { seed, nodes, data_centres: 5, times, bound: BOUND, has_faults }
     }
 
     fn play(&self) -> Outcome {
@@ -541,7 +543,7 @@
         outages: &[(u64, u64)],
         outcome: &mut Outcome,
     ) {
-        let bound_ms = BOUND.as_millis() as u64;
+        let bound_ms = self.bound.as_millis() as u64;
         let overlaps = |spans: &[(u64, u64)], from: u64, to: u64| {
             spans.iter().any(|(start, end)| *start < to && *end > from)
         };
@@ -581,6 +583,24 @@
     assert!(per_node <= most_per_node_second, "{per_node}");
 }
 
+/// Evacuations are due within 5 s, and known at all nodes within 2 s; their relays' times follow from
+/// half of the bound. Only relays call the store again and again.
+#[rstest]
+#[case(71, 1.0)]
+#[case(380, 0.2)]
+fn evacuations_are_known_at_all_nodes_within_2_s(
+    #[case] nodes: usize,
+    #[case] most_per_node_second: f64,
+) {
+    let times = RelayTimes::new(Duration::from_secs(5) / 2);
+    let bound = Duration::from_secs(2);
+    let outcome = History { times, bound, ..History::new(1, nodes, false) }.play();
+    assert_eq!(outcome.late, Vec::<String>::new());
+    let per_node = outcome.store_calls as f64 / nodes as f64 / (LENGTH_MS as f64 / 1_000.0);
+    println!("{nodes} nodes: {} calls, {per_node:.2} a node and second", outcome.store_calls);
+    assert!(per_node <= most_per_node_second, "{per_node}");
+}
+
 /// Histories with cuts from the store, freezes and deaths of nodes, of relays above all, and outages
 /// of the store. `HISTORIES` sets their number.
 #[rstest]
