Bound the memory and the connections held for clients

Cause: each body was collected whole with no bound over all connections, and a piece of a body kept the whole buffer that it was read into, and an entry in a list, alive; bodies in chunks of one byte took some 37 bytes for each byte. Bodies that were announced too large were read up to the limit.

Change: half of the memory that the settings state (limits.memoryMb) is a budget for connections and bodies. A body asks for room before its buffer grows; once the budget is used up, the body that has made least progress for its age goes, and others wait up to 2 s. A quarter is kept for bodies of 64 KiB or less. Pieces are copied into one buffer, whose room is given back when its last user drops it. Too large bodies are refused at their head, and the close lingers so that the refusal reaches a client that is still sending. Connections are bounded by three quarters of the sockets of limits.maxFds, and by memory; the longest idle ones are closed for new ones. Without these settings nothing is bounded.

--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -38,6 +38,8 @@
     Lifecycle,
     /// HTTP connections.
     Connections,
+    /// Memory and connections held for clients, which end with requests under any lock above.
+    Clients,
     /// State shared by jobs of the worker pool.
     Jobs,
     /// Metrics of the process.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,11 +3,12 @@
 //! Routing and scheduling decisions are plain code over [`tables::Tables`]: [`config`] defines the
 //! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
 //! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, and
-//! [`attempts`] decides on retries. [`proxy::Proxy`] takes a request through them. Front
+//! [`attempts`] decides on retries, [`client_memory`] on what is held for clients. [`proxy::Proxy`] takes a request through them. Front
 //! ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! neither message encodings nor sockets.
 
 pub mod attempts;
+pub mod client_memory;
 pub mod config;
 pub mod config_state;
 pub mod directory;
