--- a/crates/serving/src/client_memory.rs
+++ b/crates/serving/src/client_memory.rs
@@ -159,6 +159,18 @@
 
     /// Starts a body that holds nothing yet; `signal` tells it to go.
     pub fn open_body(&mut self, now: Instant, signal: S) -> HolderId {
+        self.insert(now, Some(signal))
+    }
+
+    /// Counts a complete response of `bytes` bytes until it is released; it is never refused, but
+    /// bodies find less room meanwhile.
+    pub fn hold_response(&mut self, now: Instant, bytes: usize) -> HolderId {
+        let id = self.insert(now, None);
+        self.set_held(id, bytes);
+        id
+    }
+
+    fn insert(&mut self, now: Instant, signal: Option<S>) -> HolderId {
         let id = self.new_id();
         let body = Body {
             held: 0,
@@ -167,7 +179,7 @@
             last_progress: now,
             waiting_since: None,
             is_evicted: false,
-            signal: Some(signal),
+            signal,
         };
         self.bodies.insert(id, body);
         id
--- a/crates/serving/tests/client_memory.rs
+++ b/crates/serving/tests/client_memory.rs
@@ -88,6 +88,17 @@
     assert_eq!(memory.used(), MIB);
 }
 
+/// Responses that clients don't read are delivered, but leave less room for bodies.
+#[rstest]
+fn response_is_counted_until_it_is_written() {
+    let (mut memory, start) = (ClientMemory::new(LIMITS), Instant::now());
+    let response = memory.hold_response(start, 7 * MIB);
+    let body = memory.open_body(start, 1);
+    assert_eq!(memory.grow(start, body, MIB), Room::Wait);
+    memory.release(response);
+    assert_eq!(memory.grow(start, body, MIB), Room::Granted);
+}
+
 #[rstest]
 fn small_bodies_have_room_beside_large_ones() {
     let (mut memory, start) = (ClientMemory::new(LIMITS), Instant::now());
