--- a/crates/serving/src/rate_limits/apply.rs
+++ b/crates/serving/src/allowance/apply.rs
@@ -19,7 +19,7 @@
 impl Tables {
     /// Applies the rate limit that an upstream stated to this node.
     pub fn apply_stated_limit(&self, now: Instant, upstream: &Upstream, stated: StatedLimit) {
-        let change = self.balancer.lock().loads.rate_limits.record(now, upstream, stated);
+        let change = self.balancer.lock().loads.allowances.record(now, upstream, stated);
         if let Some(change) = change {
             log_change(&upstream.instance, change);
         }
@@ -27,7 +27,7 @@
 
     /// Applies the rate limits that a peer reports.
     pub fn apply_peer_limits(&self, now: Instant, node: &NodeId, reports: &[HeartbeatLimit]) {
-        let changes = self.balancer.lock().loads.rate_limits.merge_peer(now, node, reports);
+        let changes = self.balancer.lock().loads.allowances.merge_peer(now, node, reports);
         if changes.is_empty() {
             return;
         }
@@ -46,7 +46,7 @@
             let peers = self.peers.lock();
             Cluster { peers: peers.live_peers(now), registered: peers.registered_count() }
         };
-        self.balancer.lock().loads.rate_limits.update_cluster(now, cluster, peer_timeout);
+        self.balancer.lock().loads.allowances.update_cluster(now, cluster, peer_timeout);
     }
 
     /// Whether rate limits bind this node at all upstreams of a pool that are not excluded.
@@ -60,7 +60,7 @@
         let upstreams = pools.get(pool).map_or(&[][..], |u| u.as_slice());
         let candidates = upstreams.iter().filter(|u| !excluded.contains(&u.instance));
         let balancer = self.balancer.lock();
-        balancer.loads.rate_limits.expected_wait(now, candidates.map(Arc::as_ref), 0).is_some()
+        balancer.loads.allowances.expected_wait(now, candidates.map(Arc::as_ref), 0).is_some()
     }
 }
 
--- a/crates/serving/src/rate_limits/mod.rs
+++ b/crates/serving/src/allowance/mod.rs
@@ -70,7 +70,7 @@
 
 /// Rate limits of all upstreams.
 #[derive(Debug, Default)]
-pub struct RateLimits {
+pub struct SendAllowances {
     own: NodeId,
     cluster: Cluster,
     limits: BTreeMap<UpstreamRun, Limit>,
@@ -81,7 +81,7 @@
     assigned: (BTreeMap<UpstreamRun, usize>, BTreeSet<NodeId>),
 }
 
-impl RateLimits {
+impl SendAllowances {
     /// Sets the name of this node.
     pub fn set_own(&mut self, node: NodeId) {
         self.own = node;
--- a/crates/serving/src/rate_limits/reports.rs
+++ b/crates/serving/src/allowance/reports.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        LimitChange, RateLimits, UpstreamRun,
+        LimitChange, SendAllowances, UpstreamRun,
         limit::{Limit, Statement},
     },
     std::{
@@ -29,7 +29,7 @@
     pub(super) by_run: BTreeMap<UpstreamRun, PeerUse>,
 }
 
-impl RateLimits {
+impl SendAllowances {
     /// Applies what a peer reports; returns the changes of limits.
     pub fn merge_peer(
         &mut self,
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -84,7 +84,7 @@
         clock: Arc<dyn Clock>,
         identity: NodeIdentity,
     ) {
-        tables.balancer.lock().loads.rate_limits.set_own(identity.node.clone());
+        tables.balancer.lock().loads.allowances.set_own(identity.node.clone());
         let exchange = Arc::new(Self { tables, transport, node_list, clock, identity });
         tokio::spawn(Arc::clone(&exchange).send_loop());
         tokio::spawn(Arc::clone(&exchange).receive_loop());
@@ -100,7 +100,7 @@
                 {
                     let mut balancer = self.tables.balancer.lock();
                     balancer.loads.mark_reported();
-                    balancer.loads.rate_limits.mark_reported(now);
+                    balancer.loads.allowances.mark_reported(now);
                 }
                 let mut crashes = self.tables.crashes.lock();
                 updates = RoundUpdates {
@@ -135,7 +135,7 @@
     fn build_heartbeat(&self, now: Instant, updates: &RoundUpdates) -> Heartbeat {
         let (loads, unresponsive, limits) = {
             let loads = &self.tables.balancer.lock().loads;
-            (loads.local_loads(now), loads.stalls_to_report(now), loads.rate_limits.to_report(now))
+            (loads.local_loads(now), loads.stalls_to_report(now), loads.allowances.to_report(now))
         };
         let has_fresh_view = self.tables.has_own_fresh_view(now);
         let (leaving, is_leader) = {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 //! ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! neither message encodings nor sockets.
 
+pub mod allowance;
 pub mod attempts;
 pub mod config;
 pub mod config_state;
@@ -21,7 +22,6 @@
 pub mod membership;
 pub mod proxy;
 pub mod queue;
-pub mod rate_limits;
 pub mod rejection;
 pub mod relay;
 pub mod request;
--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -8,11 +8,11 @@
 use {
     self::failures::FailureRate,
     crate::{
+        allowance::SendAllowances,
         directory::Upstream,
         flap_damping::FlapDamping,
         interfaces::StatedLoad,
         membership::heartbeat_round,
-        rate_limits::RateLimits,
         spread::{SendRate, choose_below_level},
     },
     rand::Rng,
@@ -130,7 +130,7 @@
     peer_loads: BTreeMap<NodeId, PeerLoads>,
     suspects: BTreeMap<InstanceId, Instant>,
     /// Rate limits that upstreams state.
-    pub rate_limits: RateLimits,
+    pub allowances: SendAllowances,
 }
 
 impl LoadTracker {
@@ -151,7 +151,7 @@
             return Selection::NoCandidate;
         }
         let has_healthy =
-            candidates.iter().any(|u| self.is_healthy(now, u) && self.rate_limits.may_send(now, u));
+            candidates.iter().any(|u| self.is_healthy(now, u) && self.allowances.may_send(now, u));
         let is_eligible = |upstream: &Upstream| {
             if has_healthy {
                 self.is_healthy(now, upstream)
@@ -217,7 +217,7 @@
         reserved_share: f64,
         slowdown: f64,
     ) -> Option<f64> {
-        if !self.rate_limits.may_send(now, upstream) {
+        if !self.allowances.may_send(now, upstream) {
             return None;
         }
         let unreported = self
@@ -313,7 +313,7 @@
             load.flaps = FlapDamping::default();
         }
         load.send_rate.record_send(now);
-        self.rate_limits.record_send(now, upstream);
+        self.allowances.record_send(now, upstream);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
 
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -263,7 +263,7 @@
         // Nothing is assigned once the request has left the queue.
         if let Ok(upstream) = self.assigned.try_recv() {
             let now = self.proxy.clock.now();
-            self.proxy.tables.balancer.lock().loads.rate_limits.cancel_send(now, &upstream);
+            self.proxy.tables.balancer.lock().loads.allowances.cancel_send(now, &upstream);
             drop(self.proxy.permit(self.context, upstream));
         }
     }
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -189,7 +189,7 @@
         let mut balancer = self.balancer.lock();
         let keys: BTreeSet<_> = pools.values().flatten().map(|u| u.key).collect();
         balancer.loads.retain(&|key| keys.contains(&key));
-        balancer.loads.rate_limits.set_listed(now, &pools);
+        balancer.loads.allowances.set_listed(now, &pools);
         drop(balancer);
         self.update_crashes(|crashes| crashes.apply_states(now, |run| run_state(&directory, run)));
         drop(directory);
@@ -249,7 +249,7 @@
         let mut queues = self.queues.lock();
         let queue = queues.entry(pool.clone()).or_default();
         if excluded.is_empty() {
-            balancer.loads.rate_limits.record_demand(now, upstreams);
+            balancer.loads.allowances.record_demand(now, upstreams);
         }
         if queue.is_empty() || !excluded.is_empty() {
             let Balancer { loads, rng, .. } = &mut *balancer;
@@ -275,7 +275,7 @@
             return Placement::WaitTooLong(resumes_at.saturating_duration_since(now));
         }
         let candidates = upstreams.iter().filter(|u| !excluded.contains(&u.instance));
-        let limits = &balancer.loads.rate_limits;
+        let limits = &balancer.loads.allowances;
         let limited_wait = limits.expected_wait(now, candidates.map(Arc::as_ref), queue.len());
         let admission = match limited_wait {
             Some(wait) if now + wait.mul_f64(RATE_WAIT_MARGIN) > params.expires_at => {
@@ -343,7 +343,7 @@
         let Balancer { loads, rng, .. } = &mut *balancer;
         let all = upstreams.iter().map(Arc::as_ref);
         // A request that was queued for a rate has been promised its turn.
-        let is_limited = loads.rate_limits.expected_wait(now, all, 0).is_some();
+        let is_limited = loads.allowances.expected_wait(now, all, 0).is_some();
         while let Some((ticket, params, waiter)) =
             if is_limited { queue.peek_oldest() } else { queue.peek(now) }
         {
@@ -355,7 +355,7 @@
             if let Err(upstream) = waiter.assignment.send(upstream) {
                 loads.record_prompt_read(upstream.key, params.prompt_tokens);
                 loads.release(now, upstream.key, UpstreamOutcome::Inconclusive);
-                loads.rate_limits.cancel_send(now, &upstream);
+                loads.allowances.cancel_send(now, &upstream);
                 continue;
             }
             queue.record_dispatch(now, &params);
--- a/crates/serving/tests/common/limited_cluster.rs
+++ b/crates/serving/tests/common/limited_cluster.rs
@@ -141,7 +141,7 @@
         tables.directory.lock().insert(format!("p{upstream}"), instance);
     }
     tables.rebuild_upstreams(now);
-    tables.balancer.lock().loads.rate_limits.set_own(format!("n{at}"));
+    tables.balancer.lock().loads.allowances.set_own(format!("n{at}"));
     tables.peers.lock().set_registered(now, addresses(scenario.nodes));
     Node { tables, waiting: Vec::new(), incarnation, next_peer: 0, stated: BTreeMap::new() }
 }
@@ -254,9 +254,9 @@
             let loads = &mut sender.tables.balancer.lock().loads;
             if first == 0 {
                 loads.mark_reported();
-                loads.rate_limits.mark_reported(self.now);
+                loads.allowances.mark_reported(self.now);
             }
-            (loads.local_loads(self.now), loads.rate_limits.to_report(self.now))
+            (loads.local_loads(self.now), loads.allowances.to_report(self.now))
         };
         let name = format!("n{from}");
         let next = (first + heartbeats_per_interval(nodes - 1)).min(nodes);
--- a/crates/serving/tests/rate_limit_policies.rs
+++ b/crates/serving/tests/rate_limit_policies.rs
@@ -12,8 +12,8 @@
     },
     turmerictack_model::rate::RequestRate,
     turmerictack_serving::{
+        allowance::{assign_senders, max_senders, weight_of_demand},
         membership::heartbeat_round,
-        rate_limits::{assign_senders, max_senders, weight_of_demand},
     },
 };
 
--- a/crates/serving/tests/rate_limits.rs
+++ b/crates/serving/tests/rate_limits.rs
@@ -15,12 +15,12 @@
     turmerictack_model::rate::RequestRate,
     turmerictack_protocol::heartbeat::{HeartbeatLimit, HeartbeatStatement},
     turmerictack_serving::{
+        allowance::{assign_senders, max_senders, weight_of_demand},
         directory::{Instance, PoolKey, Upstream, upstream_key},
         interfaces::StatedLimit,
         load::UpstreamOutcome,
         membership::LeaderStatus,
         queue::SchedulingParams,
-        rate_limits::{assign_senders, max_senders, weight_of_demand},
         tables::{Placement, Tables},
     },
 };
@@ -87,7 +87,7 @@
 
 fn is_limited(tables: &Tables, id: &str) -> bool {
     let upstream = upstream(tables, id);
-    tables.balancer.lock().loads.rate_limits.is_limited(&upstream)
+    tables.balancer.lock().loads.allowances.is_limited(&upstream)
 }
 
 fn add_peers(tables: &Tables, now: Instant, peers: std::ops::Range<usize>) {
@@ -212,7 +212,7 @@
 fn node_reports_only_what_was_stated_to_itself() {
     let (tables, now) = (tables(), Instant::now() + Duration::from_secs(60));
     let reported = |at| {
-        let reports = tables.balancer.lock().loads.rate_limits.to_report(at);
+        let reports = tables.balancer.lock().loads.allowances.to_report(at);
         reports.iter().filter_map(|r| r.statement).collect::<Vec<_>>()
     };
     tables.apply_peer_limits(now, &"n1".to_owned(), &[report("p0", Some(1.0), 100)]);
@@ -230,7 +230,7 @@
 fn statement_that_a_peer_has_confirmed_since_is_reported_for_ten_seconds() {
     let (tables, now) = (tables(), Instant::now() + Duration::from_secs(60));
     let has_statement = |after_s| {
-        let reports = tables.balancer.lock().loads.rate_limits.to_report(now + after_s);
+        let reports = tables.balancer.lock().loads.allowances.to_report(now + after_s);
         reports.iter().any(|r| r.statement.is_some())
     };
     tables.apply_stated_limit(now, &upstream(&tables, "p0"), limited(1.0));
@@ -261,7 +261,7 @@
 #[rstest]
 fn node_that_becomes_a_sender_later_starts_without_tokens() {
     let (tables, start) = (tables(), Instant::now());
-    tables.balancer.lock().loads.rate_limits.set_own("n0".to_owned());
+    tables.balancer.lock().loads.allowances.set_own("n0".to_owned());
     add_peers(&tables, start, 1..60);
     state_limit(&tables, start, limited(1.0));
     let now = start + Duration::from_secs(60);
@@ -274,7 +274,7 @@
 #[rstest]
 fn registered_nodes_out_of_touch_keep_their_part_of_the_rate() {
     let (tables, start) = (tables(), Instant::now());
-    tables.balancer.lock().loads.rate_limits.set_own("n0".to_owned());
+    tables.balancer.lock().loads.allowances.set_own("n0".to_owned());
     tables.peers.lock().set_registered(start, common::addresses(4));
     state_limit(&tables, start, limited(1.0));
     let mut sends = 0;
