Divide the rate of cold instances among the nodes

Cause: an instance that has just started, or comes back after an evacuation, takes only a stated number of requests a second from all nodes; nothing counted them. Change: serving::allowance has a second source, the cold start, known from the entry of the instance and the end of an evacuation. Its senders are chosen among the registered nodes, so nodes that are cut off or have just started agree about them.

--- a/crates/serving/src/allowance/apply.rs
+++ b/crates/serving/src/allowance/apply.rs
@@ -1,7 +1,7 @@
-//! Rate limits in the tables of a node.
+//! Allowances in the tables of a node.
 
 use {
-    super::{Cluster, LimitChange},
+    super::{Cluster, ColdChange, LimitChange},
     crate::{
         directory::{PoolKey, Upstream},
         interfaces::StatedLimit,
@@ -42,14 +42,57 @@
 
     /// Divides the rates of upstreams among the nodes that are live now.
     pub(crate) fn update_rate_shares(&self, now: Instant, peer_timeout: Duration) {
+        let (changes, has_cold) = {
+            let allowances = &mut self.balancer.lock().loads.allowances;
+            (allowances.expire_cold(now), allowances.has_cold())
+        };
+        self.log_cold_changes(&changes);
         let cluster = {
             let peers = self.peers.lock();
-            Cluster { peers: peers.live_peers(now), registered: peers.registered_count() }
+            let mut cluster = Cluster {
+                peers: peers.live_peers(now),
+                registered: peers.registered_count(),
+                ..Cluster::default()
+            };
+            if has_cold {
+                cluster.peer_addresses = peers.live_addresses(now);
+                cluster.registered_addresses = peers.registered_addresses();
+            }
+            cluster
         };
         self.balancer.lock().loads.allowances.update_cluster(now, cluster, peer_timeout);
     }
 
-    /// Whether rate limits bind this node at all upstreams of a pool that are not excluded.
+    /// Divides the rates anew after changes of the upstreams that are cold.
+    pub(crate) fn apply_cold_changes(&self, now: Instant, changes: &[ColdChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        self.log_cold_changes(changes);
+        let heartbeat_timeout = self.peers.lock().heartbeat_timeout();
+        self.update_rate_shares(now, heartbeat_timeout);
+    }
+
+    fn log_cold_changes(&self, changes: &[ColdChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        let pools = Arc::clone(self.directory.lock().pools());
+        for change in changes {
+            let upstream = pools.values().flatten().find(|u| u.key == change.upstream);
+            let Some(upstream) = upstream else { continue };
+            match change.cold {
+                Some((remaining, rate)) => logs::event("upstream_cold")
+                    .with("upstream", &upstream.instance)
+                    .with("remaining_ms", remaining.as_millis())
+                    .with("requests_per_s", rate)
+                    .info(),
+                None => logs::event("upstream_warm").with("upstream", &upstream.instance).info(),
+            }
+        }
+    }
+
+    /// Whether allowances bind this node at all upstreams of a pool that are not excluded.
     pub(crate) fn is_rate_limited(
         &self,
         now: Instant,
--- a/crates/serving/src/allowance/limit.rs
+++ b/crates/serving/src/allowance/limit.rs
@@ -1,24 +1,16 @@
-//! Rate limit of one run of an upstream, as this node knows it.
+//! Allowance of one run of an upstream, as this node knows it.
 
 use {
-    super::{bucket::TokenBucket, senders::Senders},
-    crate::spread::SendRate,
-    std::{
-        collections::VecDeque,
-        time::{Duration, Instant},
+    super::{
+        bound::{Bound, STATED_WINDOW},
+        bucket::TokenBucket,
+        senders::Senders,
     },
-    turmerictack_model::rate::RequestRate,
+    crate::spread::SendRate,
+    std::{collections::VecDeque, time::Instant},
+    turmerictack_model::{ids::NodeId, rate::RequestRate},
 };
 
-/// Window over which the requests to an upstream are counted.
-const COUNT_WINDOW: Duration = Duration::from_secs(4);
-
-/// Requests in the window above which the nodes send no more, as a multiple of the stated rate.
-const MAX_COUNT_FACTOR: f64 = 1.25;
-
-/// Requests in the window that are allowed besides.
-const MAX_COUNT_EXCESS: f64 = 3.0;
-
 /// What an upstream last stated; `rate` is `None` if it stated no limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Statement {
@@ -26,17 +18,28 @@
     pub(super) stated_at: Instant,
 }
 
-/// A rate limit, and what this node may send and has sent under it.
+/// A cold start, and what it permits until its end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Cold {
+    pub(super) until: Instant,
+    pub(super) bound: Bound,
+}
+
+/// The sources of an allowance, and what this node may send and has sent under it.
 #[derive(Clone, Debug)]
 pub(super) struct Limit {
     /// Latest statement to any node.
-    pub(super) latest: Statement,
+    pub(super) latest: Option<Statement>,
     /// Latest statement to this node.
     pub(super) own: Option<Statement>,
+    /// Cold start, unless it was over when it was last looked at.
+    pub(super) cold: Option<Cold>,
     /// Time at which the run was last known to be listed.
     pub(super) listed_at: Instant,
     /// Nodes that may send.
     pub(super) senders: Senders,
+    /// Share of the rate that the live nodes use; the rest is left to those out of touch.
+    pub(super) live_share: f64,
     pub(super) bucket: TokenBucket,
     /// Whether the bucket has got its first tokens.
     pub(super) is_filled: bool,
@@ -51,12 +54,14 @@
 }
 
 impl Limit {
-    pub(super) fn new(now: Instant, latest: Statement) -> Self {
+    pub(super) fn new(now: Instant) -> Self {
         Self {
-            latest,
+            latest: None,
             own: None,
+            cold: None,
             listed_at: now,
             senders: Senders::new(),
+            live_share: 0.0,
             bucket: TokenBucket::new(now, 0.0),
             is_filled: false,
             demand: SendRate::new(now),
@@ -71,9 +76,42 @@
         self.reported_demand[0]
     }
 
+    /// Replaces the senders; a node that has not been one starts without tokens.
+    pub(super) fn set_senders(&mut self, now: Instant, own: &NodeId, senders: Senders) {
+        if !self.senders.contains_key(own) && senders.contains_key(own) {
+            self.bucket.drain(now);
+        }
+        self.is_filled = true;
+        self.senders = senders;
+    }
+
+    /// Rate that the upstream states, if any.
+    pub(super) fn stated_rate(&self) -> Option<RequestRate> {
+        self.latest?.rate
+    }
+
+    /// Cold start that is in force.
+    pub(super) fn cold(&self, now: Instant) -> Option<&Cold> {
+        self.cold.as_ref().filter(|cold| now < cold.until)
+    }
+
+    /// Bounds of the sources in force.
+    fn bounds(&self, now: Instant) -> impl Iterator<Item = Bound> {
+        let stated = self.stated_rate().map(Bound::stated);
+        stated.into_iter().chain(self.cold(now).map(|cold| cold.bound))
+    }
+
+    /// Bound with the lowest rate; `None` if no source is in force.
+    pub(super) fn bound(&self, now: Instant) -> Option<Bound> {
+        let lowest = self.bounds(now).min_by_key(|bound| bound.rate)?;
+        let max_senders = self.bounds(now).map(|bound| bound.max_senders).min()?;
+        Some(Bound { max_senders, ..lowest })
+    }
+
     /// Requests that this node sent in the window.
     pub(super) fn count(&self, now: Instant) -> usize {
-        self.sends.iter().filter(|at| now < **at + COUNT_WINDOW).count()
+        let window = self.bound(now).map_or(STATED_WINDOW, |bound| bound.window);
+        self.sends.iter().filter(|at| now < **at + window).count()
     }
 
     /// Whether a request may be sent now.
@@ -81,15 +119,14 @@
     /// Besides the bucket, the requests of all nodes are counted, since nodes that disagree about
     /// the senders or the demand take more than the rate together.
     pub(super) fn may_send(&self, now: Instant) -> bool {
-        let Some(rate) = self.latest.rate else { return true };
-        let window = COUNT_WINDOW.as_secs_f64() * MAX_COUNT_FACTOR;
-        let max_count = rate.per_second() * window + MAX_COUNT_EXCESS;
-        self.bucket.has_token(now) && (self.peer_count + self.count(now) + 1) as f64 <= max_count
+        let Some(bound) = self.bound(now) else { return true };
+        let count = self.peer_count + self.count(now) + 1;
+        self.bucket.has_token(now) && count as f64 <= bound.max_count
     }
 
     /// Counts a request sent.
     pub(super) fn record_send(&mut self, now: Instant) {
-        while self.sends.front().is_some_and(|at| now >= *at + COUNT_WINDOW) {
+        while self.sends.front().is_some_and(|at| now >= *at + STATED_WINDOW) {
             self.sends.pop_front();
         }
         self.sends.push_back(now);
--- a/crates/serving/src/allowance/reports.rs
+++ b/crates/serving/src/allowance/reports.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        LimitChange, SendAllowances, UpstreamRun,
+        LimitChange, SendAllowances,
         limit::{Limit, Statement},
     },
+    crate::directory::UpstreamRun,
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -41,7 +42,7 @@
         for report in reports {
             let run = (report.upstream, report.started_ms);
             let Some(statement) = decode_statement(now, report.statement) else { continue };
-            if statement.rate.is_some() || self.limits.contains_key(&run) {
+            if statement.rate.is_some() || self.has_statement(&run) {
                 changes.extend(self.apply(now, run, statement));
             }
         }
@@ -64,10 +65,10 @@
     /// What to report to peers.
     pub fn to_report(&self, now: Instant) -> Vec<HeartbeatLimit> {
         let report = |(run, limit): (&UpstreamRun, &Limit)| {
-            let statement = limit.own.filter(|own| is_reported(now, own, &limit.latest));
+            let statement = limit.own.filter(|own| is_reported(now, own, limit.latest));
             let may_become_sender =
                 self.is_demand_recent() || limit.senders.contains_key(&self.own);
-            let demand = if limit.latest.rate.is_some() && may_become_sender {
+            let demand = if limit.bound(now).is_some() && may_become_sender {
                 limit.demand.per_second(now)
             } else {
                 0.0
@@ -92,7 +93,8 @@
 ///
 /// Peers need no statement that was followed by a different one, and few need to confirm the same one,
 /// so that heartbeats stay small in large clusters.
-fn is_reported(now: Instant, own: &Statement, latest: &Statement) -> bool {
+fn is_reported(now: Instant, own: &Statement, latest: Option<Statement>) -> bool {
+    let Some(latest) = latest else { return false };
     let is_latest = own.rate.is_some() && own.stated_at >= latest.stated_at;
     own.rate == latest.rate && (is_latest || now < own.stated_at + REPORT_TIME)
 }
--- a/crates/serving/src/allowance/senders.rs
+++ b/crates/serving/src/allowance/senders.rs
@@ -1,18 +1,14 @@
-//! Which nodes may send to a rate-limited upstream, and their shares of its rate.
+//! Which nodes may send to an upstream that takes only so many requests, and their shares of its rate.
 //!
 //! A node that has been idle may send a request at once, whatever its share, and so may all others
 //! at the same time. Few senders for each upstream keep the sum of these bursts small.
 
 use {
+    crate::directory::UpstreamRun,
     std::collections::{BTreeMap, BTreeSet},
     turmerictack_model::{ids::NodeId, rate::RequestRate, rendezvous::owners},
-    turmerictack_protocol::heartbeat::UpstreamKey,
 };
 
-/// Run of an upstream: its key, and the start time of its process in milliseconds since the Unix
-/// epoch.
-pub type UpstreamRun = (UpstreamKey, u64);
-
 /// Requests beyond its rate that an upstream may get in a few seconds, in seconds of the rate.
 const EXCESS_TIME_S: f64 = 2.0;
 
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -3,7 +3,10 @@
 use {
     std::{collections::BTreeMap, time::Duration},
     turmerictack_groups::formation::ModelProfile,
-    turmerictack_model::ids::{AccountId, ApiKey, ModelId, Revision, RouteId, ServiceId},
+    turmerictack_model::{
+        ids::{AccountId, ApiKey, ModelId, Revision, RouteId, ServiceId},
+        rate::RequestRate,
+    },
 };
 
 /// Whether a request may be executed more than once.
@@ -75,6 +78,15 @@
     pub concurrent_loads: usize,
 }
 
+/// What an instance takes while it is cold after a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdStart {
+    /// Time for which it is cold.
+    pub duration: Duration,
+    /// Requests that it takes meanwhile, from all nodes together.
+    pub rate: RequestRate,
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -82,6 +94,8 @@
     pub id: ServiceId,
     /// Engine profile; `None` for a service without models.
     pub engine: Option<EngineProfile>,
+    /// Cold starts of its instances; `None` if they take requests at once like any other.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A client account.
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -1,11 +1,15 @@
 //! Directory of listed instances, and the upstream pools derived from it.
 
 use {
-    crate::{config::Config, evacuations::Evacuations},
+    crate::{
+        cold_periods::{ColdEntries, ColdPeriod},
+        config::Config,
+        evacuations::Evacuations,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
-        time::Instant,
+        time::{Duration, Instant},
     },
     turmerictack_groups::formation::{Departures, EngineInstance, Membership, Phase},
     turmerictack_model::{
@@ -43,6 +47,8 @@
     pub draining: bool,
     /// Start time, in milliseconds since the Unix epoch.
     pub started_ms: u64,
+    /// Time for which it was still cold when it wrote its entry.
+    pub cold_remaining: Duration,
     /// Engine state; `None` for an instance of a service without models.
     pub engine: Option<EngineState>,
 }
@@ -68,6 +74,17 @@
     pub started_ms: u64,
 }
 
+impl Upstream {
+    /// The run of the upstream.
+    pub fn run(&self) -> UpstreamRun {
+        (self.key, self.started_ms)
+    }
+}
+
+/// Run of an upstream: its key, and the start time of its process in milliseconds since the Unix
+/// epoch.
+pub type UpstreamRun = (UpstreamKey, u64);
+
 /// Pool key: a service and, if the service runs models, a model.
 pub type PoolKey = (ServiceId, Option<ModelId>);
 
@@ -83,6 +100,7 @@
     leaving: BTreeMap<InstanceId, u64>,
     departures: Departures,
     evacuations: Evacuations,
+    cold_entries: ColdEntries,
     pools: Arc<UpstreamPools>,
     version: u64,
 }
@@ -122,6 +140,9 @@
     /// Adds or replaces an instance and cancels its scheduled removal.
     pub fn insert(&mut self, id: InstanceId, instance: Instance) {
         self.removals.remove(&id);
+        if self.instances.get(&id) != Some(&instance) {
+            self.cold_entries.mark_changed(id.clone());
+        }
         self.instances.insert(id, instance);
     }
 
@@ -172,6 +193,7 @@
         for id in &due {
             self.removals.remove(id);
             self.instances.remove(id);
+            self.cold_entries.remove(id);
             self.leaving.remove(id);
         }
         due
@@ -189,6 +211,7 @@
             self.departures.observe(now, id, instance.started_ms, group);
         }
         self.departures.expire(now);
+        self.cold_entries.apply_changes(now, &self.instances);
         let mut members: BTreeMap<(&GroupId, u64), usize> = BTreeMap::new();
         for (id, instance) in &self.instances {
             if let Some(m) = instance.membership()
@@ -232,6 +255,25 @@
         self.version += 1;
     }
 
+    /// Upstreams in the pools that are cold, by their runs.
+    pub fn cold_periods(&self, now: Instant, config: &Config) -> BTreeMap<UpstreamRun, ColdPeriod> {
+        let services = self.pools.iter().filter_map(|((service, _), upstreams)| {
+            Some((config.services.get(service)?.cold_start?, upstreams))
+        });
+        let mut periods = BTreeMap::new();
+        for (cold_start, upstreams) in services {
+            for upstream in upstreams {
+                let returned_at = self.evacuations.returned_at(&upstream.data_centre);
+                let until =
+                    self.cold_entries.cold_until(&upstream.instance, returned_at, cold_start);
+                if let Some(until) = until.filter(|until| now < *until) {
+                    periods.insert(upstream.run(), ColdPeriod { until, rate: cold_start.rate });
+                }
+            }
+        }
+        periods
+    }
+
     /// Engine instances in the form that group formation takes.
     pub fn engine_instances(&self) -> BTreeMap<InstanceId, EngineInstance> {
         self.instances
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -84,7 +84,11 @@
         clock: Arc<dyn Clock>,
         identity: NodeIdentity,
     ) {
-        tables.balancer.lock().loads.allowances.set_own(identity.node.clone());
+        {
+            let allowances = &mut tables.balancer.lock().loads.allowances;
+            allowances.set_own(identity.node.clone());
+            allowances.set_own_address(identity.address.clone());
+        }
         let exchange = Arc::new(Self { tables, transport, node_list, clock, identity });
         tokio::spawn(Arc::clone(&exchange).send_loop());
         tokio::spawn(Arc::clone(&exchange).receive_loop());
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,13 +2,14 @@
 //!
 //! Routing and scheduling decisions are plain code over [`tables::Tables`]: [`config`] defines the
 //! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
-//! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, and
-//! [`attempts`] decides on retries. [`proxy::Proxy`] takes a request through them. Front
+//! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, within the
+//! [`allowance`] of the upstream, and [`attempts`] decides on retries. [`proxy::Proxy`] takes a request through them. Front
 //! ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! neither message encodings nor sockets.
 
 pub mod allowance;
 pub mod attempts;
+pub mod cold_periods;
 pub mod config;
 pub mod config_state;
 pub mod directory;
--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -129,7 +129,7 @@
     instances: BTreeMap<UpstreamKey, InstanceId>,
     peer_loads: BTreeMap<NodeId, PeerLoads>,
     suspects: BTreeMap<InstanceId, Instant>,
-    /// Rate limits that upstreams state.
+    /// What upstreams take from all nodes together.
     pub allowances: SendAllowances,
 }
 
@@ -203,7 +203,7 @@
             .any(|u| self.score(now, u, "", reserved_share, 1.0).is_some())
     }
 
-    /// Load score of an upstream, lower being better; `None` if it is full or its rate limit allows
+    /// Load score of an upstream, lower being better; `None` if it is full or its allowance permits
     /// no request now.
     ///
     /// What peers have sent since their latest heartbeats is not known here, so each of them is
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        allowance::ColdBound,
         config::Config,
         config_state::{ConfigState, KeyFreshness},
         directory::{Directory, PoolKey, Upstream},
@@ -145,6 +146,12 @@
         self
     }
 
+    /// Sets how far the requests to cold upstreams may exceed their rate.
+    pub fn with_cold_bound(self, bound: ColdBound) -> Self {
+        self.balancer.lock().loads.allowances.set_cold_bound(bound);
+        self
+    }
+
     /// Begins to shut the node down.
     pub fn begin_shutdown(&self, shutdown: Shutdown) {
         {
@@ -186,13 +193,16 @@
         let mut directory = self.directory.lock();
         directory.rebuild_pools(now, &config);
         let pools = Arc::clone(directory.pools());
+        let cold = directory.cold_periods(now, &config);
         let mut balancer = self.balancer.lock();
         let keys: BTreeSet<_> = pools.values().flatten().map(|u| u.key).collect();
         balancer.loads.retain(&|key| keys.contains(&key));
         balancer.loads.allowances.set_listed(now, &pools);
+        let cold_changes = balancer.loads.allowances.set_cold(now, &cold);
         drop(balancer);
         self.update_crashes(|crashes| crashes.apply_states(now, |run| run_state(&directory, run)));
         drop(directory);
+        self.apply_cold_changes(now, &cold_changes);
         self.dispatch_all_waiting(now);
     }
 
--- a/crates/serving/tests/common/limited_cluster.rs
+++ b/crates/serving/tests/common/limited_cluster.rs
@@ -1,17 +1,18 @@
 //! Simulation of nodes that share upstreams with rate limits, in virtual time.
 
 use {
-    super::{DATA_CENTRE, address, addresses, config, plain_instance},
+    super::{DATA_CENTRE, address, addresses, cold_cluster::ColdReturn, config, plain_instance},
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         ops::Range,
         sync::Arc,
         time::{Duration, Instant},
     },
     tokio::sync::oneshot::Receiver,
     turmerictack_model::rate::RequestRate,
+    turmerictack_protocol::heartbeat::{HeartbeatLimit, HeartbeatLoad},
     turmerictack_serving::{
         directory::{Instance, PoolKey, Upstream},
         interfaces::StatedLimit,
@@ -54,6 +55,8 @@
     pub restart: Option<f64>,
     /// Time at which the limits are lifted.
     pub lifted: Option<f64>,
+    /// Cold upstreams, the first ones.
+    pub cold: Option<ColdReturn>,
     /// Time that a request may wait.
     pub max_wait: Duration,
     pub seed: u64,
@@ -73,6 +76,7 @@
             cut: (0, 0.0..0.0),
             restart: None,
             lifted: None,
+            cold: None,
             max_wait: Duration::from_millis(1_000),
             seed,
         }
@@ -85,18 +89,27 @@
     assigned: Receiver<Arc<Upstream>>,
 }
 
-struct Node {
-    tables: Tables,
+pub(super) struct Node {
+    pub(super) tables: Tables,
     waiting: Vec<Waiting>,
-    incarnation: u64,
+    pub(super) incarnation: u64,
     /// Position in the round of heartbeats.
     next_peer: usize,
     /// Time at which each upstream first stated a limit to this node.
     stated: BTreeMap<usize, Duration>,
 }
 
-struct Running {
-    node: usize,
+/// Heartbeat of a node.
+#[derive(Clone)]
+struct Report {
+    from: usize,
+    incarnation: u64,
+    loads: Vec<HeartbeatLoad>,
+    limits: Vec<HeartbeatLimit>,
+}
+
+pub(super) struct Running {
+    pub(super) node: usize,
     upstream: Arc<Upstream>,
     until: Instant,
 }
@@ -113,11 +126,13 @@
 
 /// A simulation, and what was seen in it.
 pub struct LimitedCluster {
-    scenario: Scenario,
-    start: Instant,
+    pub(super) scenario: Scenario,
+    pub(super) start: Instant,
     pub now: Instant,
-    nodes: Vec<Node>,
-    running: Vec<Running>,
+    pub(super) nodes: Vec<Node>,
+    /// Heartbeats on their way, with the time of their arrival.
+    delayed: VecDeque<(Instant, usize, Report)>,
+    pub(super) running: Vec<Running>,
     rng: Pcg64Mcg,
     due: f64,
     pool: PoolKey,
@@ -130,18 +145,23 @@
     pub first_stated: Vec<Option<Duration>>,
 }
 
-fn new_node(scenario: &Scenario, at: usize, now: Instant, incarnation: u64) -> Node {
+pub(super) fn new_node(scenario: &Scenario, at: usize, now: Instant, incarnation: u64) -> Node {
     let retry_budget =
         RetryBudgetConfig { ratio: 0.2, window: Duration::from_secs(10), burst: 100.0 };
     let seed = scenario.seed * 1_000 + at as u64 + incarnation * 1_000_000;
     let tables = Tables::new(seed, retry_budget);
-    assert!(tables.update_config(config(1)));
+    assert!(tables.update_config(scenario.cold.as_ref().map_or(config(1), ColdReturn::config)));
     for upstream in 0..scenario.upstreams {
         let instance = Instance { slots: 200, ..plain_instance(upstream) };
+        let instance = match &scenario.cold {
+            Some(cold) => cold.instance(upstream, instance),
+            None => instance,
+        };
         tables.directory.lock().insert(format!("p{upstream}"), instance);
     }
     tables.rebuild_upstreams(now);
     tables.balancer.lock().loads.allowances.set_own(format!("n{at}"));
+    tables.balancer.lock().loads.allowances.set_own_address(address(at));
     tables.peers.lock().set_registered(now, addresses(scenario.nodes));
     Node { tables, waiting: Vec::new(), incarnation, next_peer: 0, stated: BTreeMap::new() }
 }
@@ -161,6 +181,7 @@
             start,
             now: start,
             nodes,
+            delayed: VecDeque::new(),
             running: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(scenario.seed),
             due: 0.0,
@@ -181,6 +202,8 @@
             self.now += STEP;
             steps += 1;
             self.restart_if_due();
+            self.play_cold_return();
+            self.receive_heartbeats();
             self.finish_requests();
             let phases = HEARTBEAT_INTERVAL.as_millis() / STEP.as_millis();
             for node in 0..self.nodes.len() {
@@ -258,17 +281,28 @@
             }
             (loads.local_loads(self.now), loads.allowances.to_report(self.now))
         };
-        let name = format!("n{from}");
         let next = (first + heartbeats_per_interval(nodes - 1)).min(nodes);
-        for to in (first..next).filter(|to| *to != from && !self.is_cut(from, *to)) {
-            let receiver = &self.nodes[to].tables;
-            record_heartbeat(receiver, self.now, from, sender.incarnation);
-            receiver.balancer.lock().loads.merge_peer_loads(self.now, &name, &loads);
-            receiver.apply_peer_limits(self.now, &name, &limits);
-        }
+        let report = Report { from, incarnation: sender.incarnation, loads, limits };
+        let delay = self.scenario.cold.as_ref().map_or(Duration::ZERO, |c| c.heartbeat_delay);
+        let receivers: Vec<usize> =
+            (first..next).filter(|to| *to != from && !self.is_cut(from, *to)).collect();
+        let arrives_at = self.now + delay;
+        self.delayed.extend(receivers.into_iter().map(|to| (arrives_at, to, report.clone())));
+        self.nodes[from].next_peer = next % nodes;
+        self.receive_heartbeats();
+        let sender = &self.nodes[from];
         sender.tables.expire_reports(self.now);
         sender.tables.dispatch_all_waiting(self.now);
-        self.nodes[from].next_peer = next % nodes;
+    }
+
+    fn receive_heartbeats(&mut self) {
+        let arrived = self.delayed.partition_point(|(arrives_at, ..)| *arrives_at <= self.now);
+        for (_, to, report) in self.delayed.drain(..arrived) {
+            let (receiver, name) = (&self.nodes[to].tables, format!("n{}", report.from));
+            record_heartbeat(receiver, self.now, report.from, report.incarnation);
+            receiver.balancer.lock().loads.merge_peer_loads(self.now, &name, &report.loads);
+            receiver.apply_peer_limits(self.now, &name, &report.limits);
+        }
     }
 
     fn receive_requests(&mut self) {
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -33,6 +33,7 @@
     turmerictack_telemetry::registry::Registry,
 };
 
+pub mod cold_cluster;
 pub mod limited_cluster;
 
 pub const HOST: &str = "api.example";
@@ -272,8 +273,8 @@
         concurrent_loads: 7,
     };
     let services = vec![
-        Service { id: "models".to_owned(), engine: Some(engine) },
-        Service { id: "bookings".to_owned(), engine: None },
+        Service { id: "models".to_owned(), engine: Some(engine), cold_start: None },
+        Service { id: "bookings".to_owned(), engine: None, cold_start: None },
     ];
     let account = Account { id: "guild".to_owned(), priority: None };
     let limits = Limits {
@@ -303,6 +304,7 @@
         slots: 2,
         draining: false,
         started_ms: 1,
+        cold_remaining: Duration::ZERO,
         engine: None,
     }
 }
