Give the senders to cold upstreams even shares, and more of their requests

Change: each sender to a cold upstream has the same share, whatever it knows of the others, and weighs the upstream by the number of nodes for each sender.

--- a/crates/serving/src/allowance/apply.rs
+++ b/crates/serving/src/allowance/apply.rs
@@ -55,7 +55,6 @@
                 ..Cluster::default()
             };
             if has_cold {
-                cluster.peer_addresses = peers.live_addresses(now);
                 cluster.registered_addresses = peers.registered_addresses();
             }
             cluster
--- a/crates/serving/src/allowance/bound.rs
+++ b/crates/serving/src/allowance/bound.rs
@@ -19,7 +19,7 @@
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
 /// Share of what a cold upstream takes beyond its rate that the senders may save; the rest is for
-/// the time in which nodes disagree about the senders and the demand.
+/// the time in which nodes know different lists of nodes or upstreams.
 const COLD_SAVED_SHARE: f64 = 0.75;
 
 /// Share of the same up to which the nodes send, by the counts that they report.
@@ -72,13 +72,14 @@
     }
 
     pub(super) fn of_rate(self, rate: RequestRate) -> Bound {
-        let excess = (self.max_in_second(rate) - rate.per_second()).max(0.0);
-        let saved = excess * COLD_SAVED_SHARE - super::bucket::burst_tokens(rate.per_second());
+        let max = self.max_in_second(rate);
+        let per_second = rate.per_second().min(max - SAVED_TOKENS);
+        let excess = max - per_second;
         Bound {
-            rate,
-            max_senders: ((saved / SAVED_TOKENS) as usize).max(1),
+            rate: RequestRate::from_per_second(per_second),
+            max_senders: ((excess * COLD_SAVED_SHARE / SAVED_TOKENS) as usize).max(1),
             window: COLD_WINDOW,
-            max_count: rate.per_second() + excess * COLD_COUNT_SHARE,
+            max_count: per_second + excess * COLD_COUNT_SHARE,
         }
     }
 }
--- a/crates/serving/src/allowance/bucket.rs
+++ b/crates/serving/src/allowance/bucket.rs
@@ -11,11 +11,6 @@
 /// Tolerance for rounding errors of the level.
 const EPSILON: f64 = 1e-6;
 
-/// Tokens that are saved at a rate, in requests per second.
-pub(super) fn burst_tokens(per_second: f64) -> f64 {
-    per_second * BURST_TIME.as_secs_f64()
-}
-
 /// Token bucket that holds [`SAVED_TOKENS`], or a little more at high rates.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TokenBucket {
@@ -45,7 +40,7 @@
 
     /// Tokens in the bucket.
     pub(super) fn level(&self, now: Instant) -> f64 {
-        let capacity = burst_tokens(self.per_second).max(SAVED_TOKENS);
+        let capacity = (self.per_second * BURST_TIME.as_secs_f64()).max(SAVED_TOKENS);
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         (self.tokens + elapsed * self.per_second).min(capacity)
     }
--- a/crates/serving/src/allowance/cold.rs
+++ b/crates/serving/src/allowance/cold.rs
@@ -1,8 +1,8 @@
 //! Allowances of cold upstreams.
 //!
-//! The senders to a cold upstream are chosen among all registered nodes, live or not. So nodes that
-//! are cut off from the others, or have just started, agree with them about the senders, and all of
-//! them together keep the bound without a message.
+//! The senders to a cold upstream are chosen among all registered nodes, live or not, and have even
+//! shares. So nodes that are cut off from the others, or have just started, agree with them, and all
+//! of them together keep the bound without a message.
 
 use {
     super::{
@@ -12,7 +12,7 @@
     },
     crate::{
         cold_periods::ColdPeriod,
-        directory::{PoolKey, UpstreamRun},
+        directory::{PoolKey, Upstream, UpstreamRun},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -36,8 +36,8 @@
 pub(super) struct RegisteredSenders {
     counts: BTreeMap<PoolKey, BTreeMap<UpstreamRun, usize>>,
     nodes: BTreeSet<Address>,
-    /// Senders by address, each with the number of upstreams of the pool to which it may send.
-    by_run: BTreeMap<UpstreamRun, BTreeMap<Address, usize>>,
+    /// Senders by address.
+    by_run: BTreeMap<UpstreamRun, Senders>,
 }
 
 impl SendAllowances {
@@ -56,6 +56,13 @@
         self.limits.get(run).is_some_and(|limit| limit.cold(now).is_some())
     }
 
+    /// Number of nodes for each that may send to an upstream; 1 unless it is cold.
+    pub(crate) fn nodes_per_sender(&self, now: Instant, upstream: &Upstream) -> f64 {
+        let limit = self.limits.get(&upstream.run()).filter(|limit| limit.cold(now).is_some());
+        let senders = limit.map_or(0, |limit| limit.cold_senders.0);
+        if senders == 0 { 1.0 } else { self.cluster.registered as f64 / senders as f64 }
+    }
+
     /// Applies the upstreams that are cold; returns the changes.
     pub fn set_cold(
         &mut self,
@@ -67,7 +74,7 @@
             let limit = self.limits.entry(*run).or_insert_with(|| Limit::new(now));
             if limit.cold(now).is_none() {
                 limit.bucket.drain(now);
-                limit.senders.clear();
+                limit.cold_senders = (0, false);
                 let remaining = period.until.saturating_duration_since(now);
                 changes.push(ColdChange { upstream: run.0, cold: Some((remaining, period.rate)) });
             }
@@ -103,7 +110,7 @@
         changes
     }
 
-    /// Assigns registered nodes to the cold upstreams, and uses the live ones as senders.
+    /// Assigns registered nodes to the cold upstreams as senders.
     pub(super) fn assign_registered(&mut self, now: Instant) {
         if !self.has_cold() {
             return;
@@ -120,18 +127,14 @@
         }
         for (run, limit) in &mut self.limits {
             let Some(assigned) = self.registered_senders.by_run.get(run) else { continue };
-            if limit.cold(now).is_none() || assigned.is_empty() {
+            if limit.cold(now).is_none() {
                 continue;
             }
-            let peers = &self.cluster.peer_addresses;
-            let live = assigned.iter().filter_map(|(address, count)| {
-                let is_own = *address == self.own_address;
-                let node = if is_own { &self.own } else { peers.get(address)? };
-                Some((node.clone(), *count))
-            });
-            let senders: Senders = live.collect();
-            limit.live_share = senders.len() as f64 / assigned.len() as f64;
-            limit.set_senders(now, &self.own, senders);
+            let is_sender = assigned.contains_key(&self.own_address);
+            if is_sender && !limit.cold_senders.1 {
+                limit.bucket.drain(now);
+            }
+            limit.cold_senders = (assigned.len(), is_sender);
         }
     }
 
--- a/crates/serving/src/allowance/division.rs
+++ b/crates/serving/src/allowance/division.rs
@@ -50,21 +50,20 @@
             self.reassign(now, &counts, &active);
             self.assigned = (counts, active);
         }
-        for run in self.assigned.0.keys() {
-            if let Some(limit) = self.limits.get_mut(run) {
-                limit.live_share = live_share;
-            }
-        }
         self.assign_registered(now);
-        self.set_shares(now);
+        self.set_shares(now, live_share);
     }
 
-    fn set_shares(&mut self, now: Instant) {
+    fn set_shares(&mut self, now: Instant, live_share: f64) {
         let own = &self.own;
         for (run, limit) in &mut self.limits {
             let peers = self.peer_reports.values().filter_map(|r| r.by_run.get(run));
             limit.peer_count = peers.map(|u| u.sends).sum();
             let Some(bound) = limit.bound(now) else { continue };
+            if limit.cold(now).is_some() {
+                limit.bucket.set_rate(now, bound.rate.per_second() * limit.cold_share());
+                continue;
+            }
             let demand_of = |node: &NodeId| match self.peer_reports.get(node) {
                 _ if node == own => limit.known_demand(),
                 Some(report) => report.by_run.get(run).map_or(0.0, |u| u.demand),
@@ -74,7 +73,7 @@
                 |(node, count): (&NodeId, &usize)| weight_of_demand(demand_of(node), *count);
             let total: f64 = limit.senders.iter().map(weight).sum();
             let share = limit.senders.get_key_value(own).map_or(0.0, weight) / total;
-            limit.bucket.set_rate(now, bound.rate.per_second() * limit.live_share * share);
+            limit.bucket.set_rate(now, bound.rate.per_second() * live_share * share);
         }
     }
 
--- a/crates/serving/src/allowance/limit.rs
+++ b/crates/serving/src/allowance/limit.rs
@@ -8,7 +8,7 @@
     },
     crate::spread::SendRate,
     std::{collections::VecDeque, time::Instant},
-    turmerictack_model::{ids::NodeId, rate::RequestRate},
+    turmerictack_model::rate::RequestRate,
 };
 
 /// What an upstream last stated; `rate` is `None` if it stated no limit.
@@ -38,8 +38,8 @@
     pub(super) listed_at: Instant,
     /// Nodes that may send.
     pub(super) senders: Senders,
-    /// Share of the rate that the live nodes use; the rest is left to those out of touch.
-    pub(super) live_share: f64,
+    /// Number of senders while the upstream is cold, and whether this node is one of them.
+    pub(super) cold_senders: (usize, bool),
     pub(super) bucket: TokenBucket,
     /// Whether the bucket has got its first tokens.
     pub(super) is_filled: bool,
@@ -61,7 +61,7 @@
             cold: None,
             listed_at: now,
             senders: Senders::new(),
-            live_share: 0.0,
+            cold_senders: (0, false),
             bucket: TokenBucket::new(now, 0.0),
             is_filled: false,
             demand: SendRate::new(now),
@@ -76,15 +76,6 @@
         self.reported_demand[0]
     }
 
-    /// Replaces the senders; a node that has not been one starts without tokens.
-    pub(super) fn set_senders(&mut self, now: Instant, own: &NodeId, senders: Senders) {
-        if !self.senders.contains_key(own) && senders.contains_key(own) {
-            self.bucket.drain(now);
-        }
-        self.is_filled = true;
-        self.senders = senders;
-    }
-
     /// Rate that the upstream states, if any.
     pub(super) fn stated_rate(&self) -> Option<RequestRate> {
         self.latest?.rate
@@ -95,6 +86,12 @@
         self.cold.as_ref().filter(|cold| now < cold.until)
     }
 
+    /// Share of this node in the rate of a cold upstream.
+    pub(super) fn cold_share(&self) -> f64 {
+        let (senders, is_sender) = self.cold_senders;
+        if is_sender { 1.0 / senders as f64 } else { 0.0 }
+    }
+
     /// Bounds of the sources in force.
     fn bounds(&self, now: Instant) -> impl Iterator<Item = Bound> {
         let stated = self.stated_rate().map(Bound::stated);
--- a/crates/serving/src/allowance/mod.rs
+++ b/crates/serving/src/allowance/mod.rs
@@ -61,8 +61,6 @@
     pub peers: BTreeSet<NodeId>,
     /// Number of registered nodes, which may be out of touch with this one.
     pub registered: usize,
-    /// Addresses of the live peers; filled in while an upstream is cold.
-    pub peer_addresses: BTreeMap<Address, NodeId>,
     /// Addresses of the registered nodes; filled in while an upstream is cold.
     pub registered_addresses: BTreeSet<Address>,
 }
--- a/crates/serving/src/allowance/reports.rs
+++ b/crates/serving/src/allowance/reports.rs
@@ -68,7 +68,8 @@
             let statement = limit.own.filter(|own| is_reported(now, own, limit.latest));
             let may_become_sender =
                 self.is_demand_recent() || limit.senders.contains_key(&self.own);
-            let demand = if limit.bound(now).is_some() && may_become_sender {
+            let is_divided_by_demand = limit.stated_rate().is_some() && limit.cold(now).is_none();
+            let demand = if is_divided_by_demand && may_become_sender {
                 limit.demand.per_second(now)
             } else {
                 0.0
--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -13,7 +13,7 @@
         flap_damping::FlapDamping,
         interfaces::StatedLoad,
         membership::heartbeat_round,
-        spread::{SendRate, choose_below_level},
+        spread::{Score, SendRate, choose_below_level},
     },
     rand::Rng,
     std::{
@@ -164,10 +164,13 @@
             let slowdown = self.relative_interval(u, mean_interval);
             self.score(now, u, data_centre, reserved_share, slowdown)
         };
-        let scores: Vec<(f64, &Arc<Upstream>)> = candidates
+        let scores: Vec<Score<'_>> = candidates
             .into_iter()
             .filter(|u| is_eligible(u))
-            .filter_map(|u| Some((score(u)?, u)))
+            .filter_map(|u| {
+                let weight = self.allowances.nodes_per_sender(now, u);
+                Some(Score { load: score(u)?, weight, upstream: u })
+            })
             .collect();
         let unseen = self.expected_unseen_sends(now, upstreams);
         match choose_below_level(&scores, 1.0 + unseen, rng) {
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -201,12 +201,6 @@
         alive.map(|(node, _)| node.clone()).collect()
     }
 
-    /// Addresses of the peers that are alive, each with the node there.
-    pub fn live_addresses(&self, now: Instant) -> BTreeMap<Address, NodeId> {
-        let alive = self.peers.iter().filter(|(_, p)| self.is_alive(now, p));
-        alive.map(|(node, p)| (p.address.clone(), node.clone())).collect()
-    }
-
     /// Addresses on the platform's list of nodes.
     pub fn registered_addresses(&self) -> BTreeSet<Address> {
         self.registered.keys().cloned().collect()
--- a/crates/serving/src/spread.rs
+++ b/crates/serving/src/spread.rs
@@ -38,17 +38,29 @@
     }
 }
 
+/// An upstream that may be chosen.
+pub(crate) struct Score<'a> {
+    /// Load score, lower being better.
+    pub(crate) load: f64,
+    /// Number of nodes for each that may send to the upstream.
+    pub(crate) weight: f64,
+    pub(crate) upstream: &'a Arc<Upstream>,
+}
+
 /// Chooses an upstream so that, if all nodes choose from the same scores, `sends` requests raise
 /// the lowest ones to a common level.
 ///
 /// Nodes with the same view would otherwise all send to the upstream with the lowest score until
 /// they learn of each other's requests.
+///
+/// Of the requests that would raise an upstream to the level, this node sends its part, in
+/// proportion to the weight given.
 pub(crate) fn choose_below_level<'a>(
-    scores: &[(f64, &'a Arc<Upstream>)],
+    scores: &[Score<'a>],
     sends: f64,
     rng: &mut dyn Rng,
 ) -> Option<&'a Arc<Upstream>> {
-    let mut sorted: Vec<f64> = scores.iter().map(|(score, _)| *score).collect();
+    let mut sorted: Vec<f64> = scores.iter().map(|s| s.load).collect();
     sorted.sort_by(f64::total_cmp);
     let mut below = 0.0;
     let mut level = f64::INFINITY;
@@ -59,13 +71,14 @@
         below += score;
         level = (sends + below) / (at + 1) as f64;
     }
-    let total: f64 = scores.iter().map(|(score, _)| (level - score).max(0.0)).sum();
+    let part = |score: &Score<'_>| (level - score.load).max(0.0) * score.weight;
+    let total: f64 = scores.iter().map(part).sum();
     let mut draw = rng.random::<f64>() * total;
-    for (score, upstream) in scores {
-        draw -= (level - score).max(0.0);
+    for score in scores {
+        draw -= part(score);
         if draw < 0.0 {
-            return Some(upstream);
+            return Some(score.upstream);
         }
     }
-    scores.last().map(|(_, upstream)| *upstream)
+    scores.last().map(|score| score.upstream)
 }
--- a/crates/serving/tests/cold_instances.rs
+++ b/crates/serving/tests/cold_instances.rs
@@ -154,7 +154,7 @@
     let scenario = Scenario {
         upstreams: 3 * upstreams,
         unlimited: 3 * upstreams,
-        demand: 3.0 * upstreams as f64 * 22.0,
+        demand: 3.0 * upstreams as f64 * 42.0,
         length: Duration::from_secs(8),
         ..Scenario::new(nodes, 1)
     };
@@ -188,7 +188,8 @@
     assert!(cluster.most_in_second() as f64 <= allowed, "{}", cluster.most_in_second());
 }
 
-/// Load: the ordinary requests of a third of the capacity, which comes back cold.
+/// Load: more requests than the third of the upstreams takes that comes back cold; the others have
+/// room for the rest.
 #[rstest]
 fn returning_data_centre_gets_its_rate_from_all_nodes(#[values(9, 71, 195, 380)] nodes: usize) {
     let (scenario, cold) = cold_return(nodes);
