--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -164,13 +164,11 @@
             let slowdown = self.relative_interval(u, mean_interval);
             self.score(now, u, data_centre, reserved_share, slowdown)
         };
+        let weight = |u: &Upstream| self.allowances.nodes_per_sender(now, u);
         let scores: Vec<Score<'_>> = candidates
             .into_iter()
             .filter(|u| is_eligible(u))
-            .filter_map(|u| {
-                let weight = self.allowances.nodes_per_sender(now, u);
-                Some(Score { load: score(u)?, weight, upstream: u })
-            })
+            .filter_map(|u| Some(Score { load: score(u)?, weight: weight(u), upstream: u }))
             .collect();
         let unseen = self.expected_unseen_sends(now, upstreams);
         match choose_below_level(&scores, 1.0 + unseen, rng) {
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -43,6 +43,10 @@
         attempts: &Attempts,
         resume_after: Option<EventPosition>,
     ) -> SendResult {
+        let now = self.clock.now();
+        if self.tables.balancer.lock().loads.allowances.is_cold(now, &upstream.run()) {
+            let _ = self.metrics.count("sends.cold", 1);
+        }
         let upstream_request = context.upstream_request(resume_after);
         let mut pending_response =
             self.upstream_client.send(&upstream.instance, &upstream.address, upstream_request);
