--- a/crates/serving/src/rate_limits/reports.rs
+++ b/crates/serving/src/allowance/reports.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        LimitChange, RateLimits, UpstreamRun,
+        LimitChange, SendAllowances,
         limit::{Limit, Statement},
     },
+    crate::directory::UpstreamRun,
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -29,7 +30,7 @@
     pub(super) by_run: BTreeMap<UpstreamRun, PeerUse>,
 }
 
-impl RateLimits {
+impl SendAllowances {
     /// Applies what a peer reports; returns the changes of limits.
     pub fn merge_peer(
         &mut self,
@@ -41,7 +42,7 @@
         for report in reports {
             let run = (report.upstream, report.started_ms);
             let Some(statement) = decode_statement(now, report.statement) else { continue };
-            if statement.rate.is_some() || self.limits.contains_key(&run) {
+            if statement.rate.is_some() || self.has_statement(&run) {
                 changes.extend(self.apply(now, run, statement));
             }
         }
@@ -64,10 +65,11 @@
     /// What to report to peers.
     pub fn to_report(&self, now: Instant) -> Vec<HeartbeatLimit> {
         let report = |(run, limit): (&UpstreamRun, &Limit)| {
-            let statement = limit.own.filter(|own| is_reported(now, own, &limit.latest));
+            let statement = limit.own.filter(|own| is_reported(now, own, limit.latest));
             let may_become_sender =
                 self.is_demand_recent() || limit.senders.contains_key(&self.own);
-            let demand = if limit.latest.rate.is_some() && may_become_sender {
+            let is_divided_by_demand = limit.stated_rate().is_some() && limit.cold(now).is_none();
+            let demand = if is_divided_by_demand && may_become_sender {
                 limit.demand.per_second(now)
             } else {
                 0.0
@@ -92,7 +94,8 @@
 ///
 /// Peers need no statement that was followed by a different one, and few need to confirm the same one,
 /// so that heartbeats stay small in large clusters.
-fn is_reported(now: Instant, own: &Statement, latest: &Statement) -> bool {
+fn is_reported(now: Instant, own: &Statement, latest: Option<Statement>) -> bool {
+    let Some(latest) = latest else { return false };
     let is_latest = own.rate.is_some() && own.stated_at >= latest.stated_at;
     own.rate == latest.rate && (is_latest || now < own.stated_at + REPORT_TIME)
 }
--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -8,12 +8,12 @@
 use {
     self::failures::FailureRate,
     crate::{
+        allowance::SendAllowances,
         directory::Upstream,
         flap_damping::FlapDamping,
         interfaces::StatedLoad,
         membership::heartbeat_round,
-        rate_limits::RateLimits,
-        spread::{SendRate, choose_below_level},
+        spread::{Score, SendRate, choose_below_level},
     },
     rand::Rng,
     std::{
@@ -129,8 +129,8 @@
     instances: BTreeMap<UpstreamKey, InstanceId>,
     peer_loads: BTreeMap<NodeId, PeerLoads>,
     suspects: BTreeMap<InstanceId, Instant>,
-    /// Rate limits that upstreams state.
-    pub rate_limits: RateLimits,
+    /// What upstreams take from all nodes together.
+    pub allowances: SendAllowances,
 }
 
 impl LoadTracker {
@@ -151,7 +151,7 @@
             return Selection::NoCandidate;
         }
         let has_healthy =
-            candidates.iter().any(|u| self.is_healthy(now, u) && self.rate_limits.may_send(now, u));
+            candidates.iter().any(|u| self.is_healthy(now, u) && self.allowances.may_send(now, u));
         let is_eligible = |upstream: &Upstream| {
             if has_healthy {
                 self.is_healthy(now, upstream)
@@ -164,10 +164,11 @@
             let slowdown = self.relative_interval(u, mean_interval);
             self.score(now, u, data_centre, reserved_share, slowdown)
         };
-        let scores: Vec<(f64, &Arc<Upstream>)> = candidates
+        let weight = |u: &Upstream| self.allowances.nodes_per_sender(now, u);
+        let scores: Vec<Score<'_>> = candidates
             .into_iter()
             .filter(|u| is_eligible(u))
-            .filter_map(|u| Some((score(u)?, u)))
+            .filter_map(|u| Some(Score { load: score(u)?, weight: weight(u), upstream: u }))
             .collect();
         let unseen = self.expected_unseen_sends(now, upstreams);
         match choose_below_level(&scores, 1.0 + unseen, rng) {
@@ -203,7 +204,7 @@
             .any(|u| self.score(now, u, "", reserved_share, 1.0).is_some())
     }
 
-    /// Load score of an upstream, lower being better; `None` if it is full or its rate limit allows
+    /// Load score of an upstream, lower being better; `None` if it is full or its allowance permits
     /// no request now.
     ///
     /// What peers have sent since their latest heartbeats is not known here, so each of them is
@@ -217,7 +218,7 @@
         reserved_share: f64,
         slowdown: f64,
     ) -> Option<f64> {
-        if !self.rate_limits.may_send(now, upstream) {
+        if !self.allowances.may_send(now, upstream) {
             return None;
         }
         let unreported = self
@@ -313,7 +314,7 @@
             load.flaps = FlapDamping::default();
         }
         load.send_rate.record_send(now);
-        self.rate_limits.record_send(now, upstream);
+        self.allowances.record_send(now, upstream);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
 
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -201,6 +201,11 @@
         alive.map(|(node, _)| node.clone()).collect()
     }
 
+    /// Addresses on the platform's list of nodes.
+    pub fn registered_addresses(&self) -> BTreeSet<Address> {
+        self.registered.keys().cloned().collect()
+    }
+
     /// Number of nodes on the platform's list.
     pub fn registered_count(&self) -> usize {
         self.registered.len()
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -108,7 +108,7 @@
     /// Gives back a slot that was not used.
     fn give_back(&self, permit: Permit) {
         let now = self.clock.now();
-        self.tables.balancer.lock().loads.rate_limits.cancel_send(now, &permit.upstream);
+        self.tables.balancer.lock().loads.allowances.cancel_send(now, &permit.upstream);
     }
 
     /// Rejects a request that may not be sent now, whatever the load of the upstreams.
