Pace upstreams that have just started or returned

Cause: such an upstream looks idle, so all nodes with waiting requests send there at once; a fixed slow start leaves it idle instead. Change: serving::pace bounds the requests in flight, over all nodes, by how the upstream answers: time to the first event against that of its pool, rejections, and whether callers wait. Nodes exchange what they count in heartbeats (version 7), and share out what is free below the bound. Nothing sets Service::paces_returns yet.

--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -9,11 +9,14 @@
 };
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-pub const HEARTBEAT_VERSION: u16 = 6;
+pub const HEARTBEAT_VERSION: u16 = 7;
 
 /// Hash of an upstream's name, which keeps a heartbeat that lists dozens of upstreams small.
 pub type UpstreamKey = u32;
 
+/// Hash of one run of an upstream: of its process and of the group that it heads.
+pub type RunKey = u32;
+
 /// The sender's load on one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct HeartbeatLoad {
@@ -53,6 +56,31 @@
     pub demand_thousandths: u32,
 }
 
+/// How an upstream that has just started or returned answers the sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HeartbeatPace {
+    /// Upstream.
+    pub upstream: UpstreamKey,
+    /// Run of the upstream.
+    pub run: RunKey,
+    /// Requests that it may have in flight, over all nodes, as the sender found.
+    pub bound: u16,
+    /// Raises of the bound that the sender counted since it began to pace the upstream.
+    pub raises: u16,
+    /// Late responses that it counted.
+    pub late: u16,
+    /// Rejections for lack of capacity that it counted.
+    pub rejected: u16,
+    /// Fastest response that it got lately, in milliseconds; 0 if it got none.
+    pub fastest_ms: u16,
+    /// Whether the sender saw in the list of instances that the upstream returned.
+    pub is_listed: bool,
+    /// Whether requests wait at the sender.
+    pub is_waiting: bool,
+    /// Whether the sender no longer paces the upstream.
+    pub has_ended: bool,
+}
+
 /// Request or prompt that may have crashed its upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct HeartbeatCrash {
@@ -99,4 +127,6 @@
     pub request_crashes: Vec<HeartbeatCrash>,
     /// Requests that upstreams answered completely after a crash.
     pub cleared_requests: Vec<PromptPartId>,
+    /// Upstreams that the sender paces, or did until lately.
+    pub paces: Vec<HeartbeatPace>,
 }
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -82,6 +82,8 @@
     pub id: ServiceId,
     /// Engine profile; `None` for a service without models.
     pub engine: Option<EngineProfile>,
+    /// Whether instances that start or return get as many requests as they turn out to answer well.
+    pub paces_returns: bool,
 }
 
 /// A client account.
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -133,9 +133,11 @@
     }
 
     fn build_heartbeat(&self, now: Instant, updates: &RoundUpdates) -> Heartbeat {
-        let (loads, unresponsive, limits) = {
+        let (loads, unresponsive, limits, paces) = {
             let loads = &self.tables.balancer.lock().loads;
-            (loads.local_loads(now), loads.stalls_to_report(now), loads.rate_limits.to_report(now))
+            let limits = loads.rate_limits.to_report(now);
+            let paces = loads.paces.to_report(now);
+            (loads.local_loads(now), loads.stalls_to_report(now), limits, paces)
         };
         let has_fresh_view = self.tables.has_own_fresh_view(now);
         let (leaving, is_leader) = {
@@ -159,6 +161,7 @@
             cleared_parts: updates.prompts.cleared.clone(),
             request_crashes: updates.requests.crashes.iter().map(encode_crash).collect(),
             cleared_requests: updates.requests.cleared.clone(),
+            paces,
         }
     }
 
@@ -201,6 +204,7 @@
             let mut balancer = self.tables.balancer.lock();
             balancer.loads.merge_peer_loads(now, &heartbeat.node, &heartbeat.loads);
             balancer.loads.record_suspects(now, heartbeat.unresponsive);
+            balancer.loads.merge_peer_paces(now, &heartbeat.node, &heartbeat.paces);
         }
         self.tables.apply_peer_limits(now, &heartbeat.node, &heartbeat.limits);
         let prompts = decode_updates(heartbeat.prompt_crashes, heartbeat.cleared_parts);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Routing and scheduling decisions are plain code over [`tables::Tables`]: [`config`] defines the
 //! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
-//! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, and
-//! [`attempts`] decides on retries. [`proxy::Proxy`] takes a request through them. Front
+//! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, [`pace`] says
+//! how many requests an upstream that has just returned gets, and [`attempts`] decides on retries. [`proxy::Proxy`] takes a request through them. Front
 //! ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! neither message encodings nor sockets.
 
@@ -19,6 +19,7 @@
 pub mod interfaces;
 pub mod load;
 pub mod membership;
+pub mod pace;
 pub mod proxy;
 pub mod queue;
 pub mod rate_limits;
--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -1,6 +1,7 @@
 //! Requests in flight at each upstream, over all nodes, and the choice between upstreams.
 
 mod failures;
+mod paces;
 mod pauses;
 mod peers;
 mod stalls;
@@ -12,6 +13,7 @@
         flap_damping::FlapDamping,
         interfaces::StatedLoad,
         membership::heartbeat_round,
+        pace::{PaceReason, Paces},
         rate_limits::RateLimits,
         spread::{SendRate, choose_below_level},
     },
@@ -131,6 +133,8 @@
     suspects: BTreeMap<InstanceId, Instant>,
     /// Rate limits that upstreams state.
     pub rate_limits: RateLimits,
+    /// Paces of upstreams that have just started or returned.
+    pub paces: Paces,
 }
 
 impl LoadTracker {
@@ -203,12 +207,8 @@
             .any(|u| self.score(now, u, "", reserved_share, 1.0).is_some())
     }
 
-    /// Load score of an upstream, lower being better; `None` if it is full or its rate limit allows
-    /// no request now.
-    ///
-    /// What peers have sent since their latest heartbeats is not known here, so each of them is
-    /// assumed to have sent as many requests as this node has since its last but one round of them.
-    /// Otherwise all nodes with queued requests would overload a group at the moment it opens.
+    /// Load score of an upstream, lower being better; `None` if it is full, or if its rate limit or
+    /// its pace allows no request now.
     fn score(
         &self,
         now: Instant,
@@ -220,20 +220,41 @@
         if !self.rate_limits.may_send(now, upstream) {
             return None;
         }
+        let in_flight = self.in_flight_with_room(now, upstream, reserved_share)?;
+        let bonus = if upstream.data_centre == data_centre { LOCAL_DATA_CENTRE_BONUS } else { 0.0 };
+        let unread = f64::from(self.unread_tokens(upstream.key)) / UNREAD_TOKENS_PER_REQUEST;
+        Some((f64::from(in_flight + 1) + unread) * slowdown - bonus)
+    }
+
+    /// Expected requests in flight at an upstream; `None` if it has no room for a further one.
+    ///
+    /// What peers have sent since their latest heartbeats is not known here, so each of them is
+    /// assumed to have sent as many requests as this node has since its last but one round of them.
+    /// Otherwise all nodes with queued requests would overload a group at the moment it opens. Paced
+    /// upstreams need no such assumption, since the nodes share out what is free there.
+    fn in_flight_with_room(
+        &self,
+        now: Instant,
+        upstream: &Upstream,
+        reserved_share: f64,
+    ) -> Option<u32> {
+        let estimate = self.estimate(now, upstream.key);
+        if let Some(pace) = self.paces.limit(upstream.key) {
+            let bound = pace.bound.min(upstream.slots);
+            let reserved_slots = (f64::from(bound) * reserved_share) as u32;
+            let in_flight = estimate.saturating_sub(pace.overdue);
+            let has_room = pace.sends_left > 0 && in_flight + reserved_slots < bound;
+            return has_room.then_some(in_flight);
+        }
         let unreported = self
             .by_key
             .get(&upstream.key)
             .map_or(0, |l| l.local_in_flight.saturating_sub(l.reported[0]));
         let peer_nodes = u32::try_from(self.peer_loads.len()).unwrap_or(u32::MAX);
-        let in_flight =
-            self.estimate(now, upstream.key).saturating_add(unreported.saturating_mul(peer_nodes));
+        let in_flight = estimate.saturating_add(unreported.saturating_mul(peer_nodes));
         let reserved_slots = (f64::from(upstream.slots) * reserved_share).ceil() as u32;
-        if in_flight + reserved_slots >= upstream.slots + MAX_EXCESS_REQUESTS {
-            return None;
-        }
-        let bonus = if upstream.data_centre == data_centre { LOCAL_DATA_CENTRE_BONUS } else { 0.0 };
-        let unread = f64::from(self.unread_tokens(upstream.key)) / UNREAD_TOKENS_PER_REQUEST;
-        Some((f64::from(in_flight + 1) + unread) * slowdown - bonus)
+        let has_room = in_flight + reserved_slots < upstream.slots + MAX_EXCESS_REQUESTS;
+        has_room.then_some(in_flight)
     }
 
     /// Mean time between events of all upstreams, in ms; 0 if none is known.
@@ -314,6 +335,7 @@
         }
         load.send_rate.record_send(now);
         self.rate_limits.record_send(now, upstream);
+        self.paces.record_send(upstream.key);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
 
@@ -350,6 +372,7 @@
     /// Counts the end of a request, which counts as waiting, and applies its outcome to the upstream's
     /// health.
     pub fn release(&mut self, now: Instant, key: UpstreamKey, outcome: UpstreamOutcome) {
+        self.record_paced_outcome(now, key, outcome);
         let load = self.entry(now, key);
         load.local_in_flight = load.local_in_flight.saturating_sub(1);
         load.local_waiting = load.local_waiting.saturating_sub(1);
@@ -370,6 +393,10 @@
 
     /// Records a stream event; `gap` is the time since the previous one.
     pub fn record_progress(&mut self, now: Instant, key: UpstreamKey, gap: Option<Duration>) {
+        let has_stalled = self.by_key.get(&key).is_some_and(|load| self.has_stalled(now, load));
+        if has_stalled {
+            self.begin_pace(now, key, PaceReason::StallEnded);
+        }
         let load = self.entry(now, key);
         load.last_progress = Some(now);
         if let Some(gap) = gap {
--- a/crates/serving/src/load/stalls.rs
+++ b/crates/serving/src/load/stalls.rs
@@ -52,7 +52,7 @@
 
     /// Whether this node has lately moved a request away from the upstream because of a stall, and
     /// neither it nor a peer has received an event from there since.
-    fn has_stalled(&self, now: Instant, load: &UpstreamLoad) -> bool {
+    pub(super) fn has_stalled(&self, now: Instant, load: &UpstreamLoad) -> bool {
         let is_recent = |at: &Instant| now < *at + STALL_MEMORY;
         load.stalled_at.filter(is_recent).is_some_and(|at| Some(at) > load.latest_progress())
     }
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -11,6 +11,7 @@
         rejection::{Reason, Rejection},
         tables::{Placement, Tables},
     },
+    cadence::Counted as _,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -39,9 +40,12 @@
 impl Permit {
     /// Records the time from the permit to the first event or the complete response.
     pub(super) fn record_response(&mut self) {
-        let elapsed = self.clock.now().saturating_duration_since(self.acquired_at);
+        let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(self.acquired_at);
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
         let mut balancer = self.tables.balancer.lock();
+        let usual = balancer.response_times.median(&self.pool);
+        balancer.loads.record_response(now, self.upstream.key, elapsed, usual);
         balancer.response_times.record(&self.pool, elapsed);
         balancer.loads.record_prompt_read(self.upstream.key, unread_tokens);
     }
@@ -208,6 +212,9 @@
         permit: &Permit,
     ) {
         let instance = &permit.upstream.instance;
+        if self.tables.balancer.lock().loads.paces.limit(permit.upstream.key).is_some() {
+            let _ = self.metrics.count("sends.paced", 1);
+        }
         attempts.record_send(SendRecord {
             instance: instance.clone(),
             in_flight: self.tables.balancer.lock().loads.in_flight(permit.upstream.key),
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -8,6 +8,7 @@
         in_flight::RequestsInFlight,
         load::{LoadTracker, Selection, UpstreamOutcome},
         membership::PeerTable,
+        pace::update_paces,
         queue::{Admission, Queues, SchedulingParams, Ticket},
         relay::board::FactBoard,
         response_time::{ResponseDurations, ResponseTimes},
@@ -162,6 +163,7 @@
         let heartbeat_timeout = self.peers.lock().heartbeat_timeout();
         self.balancer.lock().loads.expire_peer_loads(now, heartbeat_timeout);
         self.update_rate_shares(now, heartbeat_timeout);
+        self.begin_pace_interval(now, heartbeat_timeout);
         self.update_crashes(|crashes| crashes.expire(now));
     }
 
@@ -190,6 +192,7 @@
         let keys: BTreeSet<_> = pools.values().flatten().map(|u| u.key).collect();
         balancer.loads.retain(&|key| keys.contains(&key));
         balancer.loads.rate_limits.set_listed(now, &pools);
+        update_paces(now, &config, &directory, &mut balancer);
         drop(balancer);
         self.update_crashes(|crashes| crashes.apply_states(now, |run| run_state(&directory, run)));
         drop(directory);
@@ -264,12 +267,14 @@
                 Selection::Upstream(upstream) => {
                     loads.acquire(now, &upstream, params.prompt_tokens);
                     queue.record_dispatch(now, &params);
+                    loads.paces.record_demand(now, pool, false);
                     return Placement::Assigned(upstream);
                 }
                 Selection::NoCandidate if !excluded.is_empty() => return Placement::Unavailable,
                 Selection::NoCandidate | Selection::Saturated => {}
             }
         }
+        balancer.loads.paces.record_demand(now, pool, true);
         let resumes_at = balancer.loads.earliest_resume(now, upstreams, excluded);
         if let Some(resumes_at) = resumes_at.filter(|at| *at > params.expires_at) {
             return Placement::WaitTooLong(resumes_at.saturating_duration_since(now));
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -34,6 +34,7 @@
 };
 
 pub mod limited_cluster;
+pub mod returning_cluster;
 
 pub const HOST: &str = "api.example";
 pub const DATA_CENTRE: &str = "dc-1";
@@ -272,8 +273,8 @@
         concurrent_loads: 7,
     };
     let services = vec![
-        Service { id: "models".to_owned(), engine: Some(engine) },
-        Service { id: "bookings".to_owned(), engine: None },
+        Service { id: "models".to_owned(), engine: Some(engine), paces_returns: false },
+        Service { id: "bookings".to_owned(), engine: None, paces_returns: false },
     ];
     let account = Account { id: "guild".to_owned(), priority: None };
     let limits = Limits {
--- a/crates/serving/tests/lost_peers.rs
+++ b/crates/serving/tests/lost_peers.rs
@@ -86,6 +86,7 @@
         cleared_parts: Vec::new(),
         request_crashes: Vec::new(),
         cleared_requests: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
