--- a/crates/serving/src/pace/mod.rs
+++ b/crates/serving/src/pace/mod.rs
@@ -156,6 +156,20 @@
     ended_at: Option<Instant>,
 }
 
+impl Tracked {
+    /// Why an upstream counts as returned, from what it was before; `None` if it has gone on.
+    fn reason(&self, upstream: &Upstream, listing: &Listing<'_>) -> Option<PaceReason> {
+        if self.upstream.started_ms != upstream.started_ms {
+            return Some(PaceReason::Restarted);
+        }
+        if self.upstream.group != upstream.group {
+            return Some(PaceReason::Opened);
+        }
+        let returned_at = (listing.returned_at)(&upstream.data_centre);
+        returned_at.filter(|at| *at > self.listed_at).map(|_| PaceReason::DataCentreReturned)
+    }
+}
+
 /// What decides whether listed upstreams have returned.
 pub struct Listing<'a> {
     /// Upstreams by pool.
@@ -212,14 +226,7 @@
         listing: &Listing<'_>,
     ) {
         let previous = self.by_key.get(&key);
-        let reason = match previous {
-            None => Some(PaceReason::Opened),
-            Some(t) if t.upstream.started_ms != upstream.started_ms => Some(PaceReason::Restarted),
-            Some(t) if t.upstream.group != upstream.group => Some(PaceReason::Opened),
-            Some(t) => (listing.returned_at)(&upstream.data_centre)
-                .filter(|at| *at > t.listed_at)
-                .map(|_| PaceReason::DataCentreReturned),
-        };
+        let reason = previous.map_or(Some(PaceReason::Opened), |t| t.reason(upstream, listing));
         let Some(reason) = reason else {
             if let Some(tracked) = self.by_key.get_mut(&key) {
                 tracked.upstream = Arc::clone(upstream);
--- a/crates/serving/tests/pace.rs
+++ b/crates/serving/tests/pace.rs
@@ -1,5 +1,7 @@
 //! Decisions on the pace of upstreams that have just started or returned.
 
+#![allow(clippy::unwrap_used, reason = "test helpers panic on failure, as tests do")]
+
 mod common;
 
 use {
