Count peers that have not reported yet as senders to paced upstreams

Cause: after the first reports of a round, a node with waiting requests took the few peers it had heard of for all: 40 requests in flight at each group of a returning data centre after 250 ms (71 nodes, a bound of 12), and 1,349 requests rejected in 5 s. Change: only peers that told that no requests wait there are left out.

--- a/crates/serving/src/pace/peers.rs
+++ b/crates/serving/src/pace/peers.rs
@@ -28,6 +28,11 @@
         self.is_waiting && now < self.received_at + timeout
     }
 
+    /// Whether the peer has told within `timeout` that no requests wait there.
+    pub(super) fn is_idle(&self, now: Instant, timeout: Duration) -> bool {
+        !self.is_waiting && now < self.received_at + timeout
+    }
+
     /// Fastest response that the peer got lately.
     pub(super) fn fastest(&self, now: Instant) -> Option<Duration> {
         self.fastest.filter(|_| now < self.received_at + FASTEST_WINDOW)
--- a/crates/serving/src/pace/sharing.rs
+++ b/crates/serving/src/pace/sharing.rs
@@ -1,7 +1,7 @@
 //! Shares of the nodes in what is free below a bound.
 
 use {
-    super::{Pace, Paces},
+    super::{Pace, Paces, peers::PeerCounts},
     crate::{
         directory::PoolKey,
         membership::{HEARTBEAT_INTERVAL, heartbeat_round},
@@ -114,13 +114,14 @@
 }
 
 impl Pace {
-    /// Number of nodes among which this node shares what is free: those where requests wait, or all
-    /// if none waits here.
+    /// Number of nodes among which this node shares what is free: all, but if requests wait here,
+    /// without those that have told that none waits there.
     fn senders(&self, now: Instant, interval: &Interval<'_>) -> usize {
-        if !self.is_waiting || self.peers.is_empty() {
+        if !self.is_waiting {
             return interval.peers + 1;
         }
-        let is_waiting = |p: &&super::PeerCounts| p.is_waiting(now, interval.peer_timeout);
-        1 + self.peers.values().filter(is_waiting).count()
+        let is_idle = |p: &&PeerCounts| p.is_idle(now, interval.peer_timeout);
+        let idle = self.peers.values().filter(is_idle).count();
+        1 + interval.peers.saturating_sub(idle)
     }
 }
--- a/crates/serving/tests/pace_cluster.rs
+++ b/crates/serving/tests/pace_cluster.rs
@@ -12,7 +12,7 @@
 /// a group that is filled evenly within 2 s.
 const MAX_IDLE: f64 = 0.2;
 
-/// Largest number of requests in flight before a group can have answered many of them.
+/// Largest number of requests in flight before a group can have answered any.
 const MAX_FIRST_BURST: usize = SLOTS as usize / 2;
 
 /// Time without a first event after which callers leave.
@@ -54,6 +54,22 @@
     assert!(paced.idle <= MAX_IDLE && paced.idle < slow_start.idle, "{paced:?}");
 }
 
+/// Guards against a data centre that is taken back and flooded, while all groups that remained are
+/// full.
+#[rstest]
+fn groups_of_a_data_centre_return_together(
+    #[values(9, 71)] nodes: usize,
+    #[values(0, 4)] cold_s: u64,
+) {
+    let [unlimited, _, paced] = [Limit::Slots, Limit::FixedSlowStart, Limit::Pace].map(|limit| {
+        let cold = Duration::from_secs(cold_s);
+        run(Scenario { returning: 3, ..Scenario::new(nodes, limit, cold, 1) })
+    });
+    assert!(failed(&paced) < failed(&unlimited), "{paced:?}");
+    assert!(paced.first_burst <= MAX_FIRST_BURST, "{paced:?}");
+    assert!(paced.idle <= MAX_IDLE, "{paced:?}");
+}
+
 /// Guards against a pace that ends at the slots although the group has become slow again.
 #[rstest]
 fn group_that_falls_back_is_not_flooded(#[values(9, 71)] nodes: usize) {
