--- a/crates/serving/src/pace/bound.rs
+++ b/crates/serving/src/pace/bound.rs
@@ -19,6 +19,9 @@
 /// known to be in flight falls behind while the bound rises.
 const MAX_UNUSED_FACTOR: f64 = 4.0;
 
+/// Time in which a bound falls at most by half, at least.
+const MIN_FALL_WINDOW: Duration = Duration::from_millis(250);
+
 /// Requests that an upstream may have in flight, over all nodes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Bound {
@@ -88,3 +91,9 @@
         }
     }
 }
+
+/// Time in which a bound falls at most by half: what happens at once becomes known over a round of
+/// heartbeats.
+pub(super) fn fall_window(round: Duration) -> Duration {
+    MIN_FALL_WINDOW.max(round)
+}
--- a/crates/serving/src/pace/mod.rs
+++ b/crates/serving/src/pace/mod.rs
@@ -17,7 +17,12 @@
 pub(crate) use self::apply::update_paces;
 
 use {
-    self::{bound::Bound, fastest::Fastest, peers::PeerCounts, sharing::Demand},
+    self::{
+        bound::{Bound, fall_window},
+        fastest::Fastest,
+        peers::PeerCounts,
+        sharing::Demand,
+    },
     crate::directory::{PoolKey, Upstream, UpstreamPools},
     derive_more::Display,
     std::{
@@ -35,6 +40,11 @@
 /// Time after which an upstream no longer counts as one that has just returned.
 const MAX_PACED_TIME: Duration = Duration::from_secs(30);
 
+/// Time of a round of heartbeats up to which upstreams are paced.
+///
+/// Where a round takes longer, what is free becomes known too late, and upstreams are left idle.
+const MAX_ROUND: Duration = Duration::from_secs(1);
+
 /// Time for which an upstream that is not listed any more is remembered.
 const MEMORY: Duration = Duration::from_secs(60);
 
@@ -53,9 +63,6 @@
 /// Factor on raises while callers wait.
 const WAITING_RAISE: u32 = 2;
 
-/// Time in which a bound falls at most by half, at least.
-const MIN_FALL_WINDOW: Duration = Duration::from_millis(250);
-
 /// Why an upstream is paced.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum PaceReason {
@@ -261,7 +268,7 @@
 
     fn begin_at(&mut self, now: Instant, key: UpstreamKey, reason: PaceReason, bound: Bound) {
         let Some(tracked) = self.by_key.get_mut(&key) else { return };
-        if bound.has_reached_slots() {
+        if bound.has_reached_slots() || self.round > MAX_ROUND {
             return;
         }
         tracked.is_judged = true;
@@ -382,12 +389,6 @@
     }
 }
 
-/// Time in which a bound falls at most by half: what happens at once becomes known over a round of
-/// heartbeats.
-fn fall_window(round: Duration) -> Duration {
-    MIN_FALL_WINDOW.max(round)
-}
-
 /// Hash of one run of an upstream: of its process and of the group that it heads.
 fn run_key(upstream: &Upstream) -> RunKey {
     let group = upstream.group.as_deref().unwrap_or_default();
--- a/crates/serving/tests/pace.rs
+++ b/crates/serving/tests/pace.rs
@@ -228,6 +228,24 @@
     assert_eq!((bound(&nodes[0]), bound(&nodes[1])), (Some(10), None));
 }
 
+/// Guards against upstreams that are left idle where nodes learn too late of each other's requests.
+#[rstest]
+#[case::round_of_450_ms(70, Some(10))]
+#[case::round_of_2_4_s(194, None)]
+fn upstreams_are_paced_where_heartbeats_are_frequent(
+    #[case] peers: usize,
+    #[case] expected: Option<u32>,
+) {
+    let now = Instant::now();
+    let tables = node(true, true, now);
+    for peer in 0..peers {
+        tables.balancer.lock().loads.merge_peer_loads(now, &format!("n{peer}"), &[]);
+    }
+    tables.expire_reports(now);
+    list(&tables, now, 1, |_| {});
+    assert_eq!(bound(&tables), expected);
+}
+
 /// Guards against idle nodes that save up what they may send, and all send at once.
 #[test]
 fn what_is_free_is_shared_out_and_lapses() {
