--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -96,6 +96,8 @@
     pub engine: Option<EngineProfile>,
     /// Cold starts of its instances; `None` if they take requests at once like any other.
     pub cold_start: Option<ColdStart>,
+    /// Whether instances that start or return get as many requests as they turn out to answer well.
+    pub paces_returns: bool,
 }
 
 /// A client account.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,8 +3,9 @@
 //! Routing and scheduling decisions are plain code over [`tables::Tables`]: [`config`] defines the
 //! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
 //! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, within the
-//! [`allowance`] of the upstream, [`attempts`] decides on retries, and [`client_memory`] on what is
-//! held for clients. [`proxy::Proxy`] takes a request through them. Front
+//! [`allowance`] of the upstream and the [`pace`] of one that has just returned, [`attempts`] decides
+//! on retries, and [`client_memory`] on what is held for clients. [`proxy::Proxy`] takes a request
+//! through them. Front
 //! ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! neither message encodings nor sockets.
 
@@ -23,6 +24,7 @@
 pub mod interfaces;
 pub mod load;
 pub mod membership;
+pub mod pace;
 pub mod proxy;
 pub mod queue;
 pub mod rejection;
--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -1,8 +1,10 @@
 //! Requests in flight at each upstream, over all nodes, and the choice between upstreams.
 
 mod failures;
+mod paces;
 mod pauses;
 mod peers;
+mod room;
 mod stalls;
 
 use {
@@ -13,6 +15,7 @@
         flap_damping::FlapDamping,
         interfaces::StatedLoad,
         membership::heartbeat_round,
+        pace::{PaceReason, Paces},
         spread::{Score, SendRate, choose_below_level},
     },
     rand::Rng,
@@ -25,10 +28,6 @@
     turmerictack_protocol::heartbeat::UpstreamKey,
 };
 
-/// Requests sent to an upstream beyond its slots; kept small because requests in the queues of
-/// this node can still be reordered.
-const MAX_EXCESS_REQUESTS: u32 = 1;
-
 /// Time without any event after which an upstream with requests in flight counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_millis(450);
 
@@ -131,6 +130,8 @@
     suspects: BTreeMap<InstanceId, Instant>,
     /// What upstreams take from all nodes together.
     pub allowances: SendAllowances,
+    /// Paces of upstreams that have just started or returned.
+    pub paces: Paces,
 }
 
 impl LoadTracker {
@@ -204,12 +205,8 @@
             .any(|u| self.score(now, u, "", reserved_share, 1.0).is_some())
     }
 
-    /// Load score of an upstream, lower being better; `None` if it is full or its allowance permits
-    /// no request now.
-    ///
-    /// What peers have sent since their latest heartbeats is not known here, so each of them is
-    /// assumed to have sent as many requests as this node has since its last but one round of them.
-    /// Otherwise all nodes with queued requests would overload a group at the moment it opens.
+    /// Load score of an upstream, lower being better; `None` if it is full, or if its allowance or its
+    /// pace permits no request now.
     fn score(
         &self,
         now: Instant,
@@ -221,17 +218,7 @@
         if !self.allowances.may_send(now, upstream) {
             return None;
         }
-        let unreported = self
-            .by_key
-            .get(&upstream.key)
-            .map_or(0, |l| l.local_in_flight.saturating_sub(l.reported[0]));
-        let peer_nodes = u32::try_from(self.peer_loads.len()).unwrap_or(u32::MAX);
-        let in_flight =
-            self.estimate(now, upstream.key).saturating_add(unreported.saturating_mul(peer_nodes));
-        let reserved_slots = (f64::from(upstream.slots) * reserved_share).ceil() as u32;
-        if in_flight + reserved_slots >= upstream.slots + MAX_EXCESS_REQUESTS {
-            return None;
-        }
+        let in_flight = self.in_flight_with_room(now, upstream, reserved_share)?;
         let bonus = if upstream.data_centre == data_centre { LOCAL_DATA_CENTRE_BONUS } else { 0.0 };
         let unread = f64::from(self.unread_tokens(upstream.key)) / UNREAD_TOKENS_PER_REQUEST;
         Some((f64::from(in_flight + 1) + unread) * slowdown - bonus)
@@ -315,6 +302,7 @@
         }
         load.send_rate.record_send(now);
         self.allowances.record_send(now, upstream);
+        self.paces.record_send(upstream.key);
         self.instances.entry(upstream.key).or_insert_with(|| upstream.instance.clone());
     }
 
@@ -351,6 +339,7 @@
     /// Counts the end of a request, which counts as waiting, and applies its outcome to the upstream's
     /// health.
     pub fn release(&mut self, now: Instant, key: UpstreamKey, outcome: UpstreamOutcome) {
+        self.record_paced_outcome(now, key, outcome);
         let load = self.entry(now, key);
         load.local_in_flight = load.local_in_flight.saturating_sub(1);
         load.local_waiting = load.local_waiting.saturating_sub(1);
@@ -371,6 +360,10 @@
 
     /// Records a stream event; `gap` is the time since the previous one.
     pub fn record_progress(&mut self, now: Instant, key: UpstreamKey, gap: Option<Duration>) {
+        let has_stalled = self.by_key.get(&key).is_some_and(|load| self.has_stalled(now, load));
+        if has_stalled {
+            self.begin_pace(now, key, PaceReason::StallEnded);
+        }
         let load = self.entry(now, key);
         load.last_progress = Some(now);
         if let Some(gap) = gap {
