Compare facts of the store by era first, and write the plan of each era apart

Cause: a store that comes back from a copy gives out versions again; bare versions take the copy for what is known, and old answers for new ones.

--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -7,6 +7,7 @@
 
 mod departures;
 mod loads;
+mod restoration;
 mod retirement;
 mod selection;
 mod supply;
@@ -95,6 +96,8 @@
     pub started: u64,
     /// Models whose weights are loaded onto the host.
     pub staged: BTreeSet<ModelId>,
+    /// Models that it is ready to serve, alone or with the other members of its group.
+    pub models: BTreeSet<ModelId>,
     /// Membership in a group, if any.
     pub membership: Option<Membership>,
 }
--- a/crates/groups/src/plan.rs
+++ b/crates/groups/src/plan.rs
@@ -6,7 +6,7 @@
 use {
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
-    turmerictack_model::ids::{Epoch, GroupId, InstanceId, ModelId, ServiceId},
+    turmerictack_model::ids::{Epoch, Era, GroupId, InstanceId, ModelId, ServiceId},
 };
 
 /// Planned group of a service.
@@ -43,6 +43,14 @@
     /// Models to load, by instance; stored before the loads are ordered.
     #[serde(default)]
     pub loads: BTreeMap<InstanceId, ModelId>,
+    /// Era of the store in which the plan was written.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: Era,
+}
+
+/// Whether the store has stated no era.
+fn is_first_era(era: &Era) -> bool {
+    *era == 0
 }
 
 impl Plan {
--- a/crates/groups/tests/fabric/mod.rs
+++ b/crates/groups/tests/fabric/mod.rs
@@ -186,6 +186,8 @@
                     rank: m.members.iter().position(|x| x == id).unwrap_or(usize::MAX),
                     phase: m.phase,
                 });
+                let serves = engine.member.as_ref().is_some_and(|m| m.phase != Phase::Joining);
+                let models = engine.last_model.iter().filter(|_| serves).cloned().collect();
                 engine.listing = Some(EngineInstance {
                     address: id.clone(),
                     service: "models".to_owned(),
@@ -194,6 +196,7 @@
                     leaving: engine.leaving,
                     started: engine.started,
                     staged: staged.collect(),
+                    models,
                     membership,
                 });
             } else if now >= engine.last_heard + LISTING_TIMEOUT {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,13 +4,13 @@
     bincode::{Decode, Encode},
     std::time::Duration,
     turmerictack_model::ids::{
-        Address, DataCentre, Epoch, GroupId, Incarnation, InstanceId, NodeId, ObjectName, Revision,
-        Version,
+        Address, DataCentre, Epoch, Era, GroupId, Incarnation, InstanceId, NodeId, ObjectName,
+        Revision, Version,
     },
 };
 
 /// Version of the message format; the handshake fails between nodes of different versions.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// State of a node in the membership protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -135,6 +135,10 @@
     pub confirmed_age_ms: u32,
     /// Time in ms since the end of the last outage of the store.
     pub outage_age_ms: Option<u32>,
+    /// Era of the store that all versions belong to.
+    pub era: Era,
+    /// Version at which the era was first seen.
+    pub era_seen_at: Version,
 }
 
 /// Request to another node.
@@ -172,6 +176,8 @@
         after: Version,
         /// Time in ms for which the request may be held open until there is a change.
         wait_ms: u32,
+        /// Era of the store that `after` belongs to.
+        era: Era,
     },
 }
 
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -5,7 +5,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
-        time::Instant,
+        time::{Duration, Instant},
     },
     turmerictack_groups::formation::{Departures, EngineInstance, Membership, Phase},
     turmerictack_model::{
@@ -15,6 +15,10 @@
     turmerictack_protocol::heartbeat::UpstreamKey,
 };
 
+/// Time for which removed runs of instances are remembered; longer than the time by which a copy of
+/// the store is behind, and the store's absence.
+const REMOVED_RUN_MEMORY: Duration = Duration::from_secs(60);
+
 /// State that only engine instances report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineState {
@@ -81,6 +85,11 @@
     removals: BTreeMap<InstanceId, Instant>,
     /// Start times of the instances that stated in a response that they are leaving.
     leaving: BTreeMap<InstanceId, u64>,
+    /// Start times of the instances that were removed, and when; a store that comes back from a copy
+    /// may list them again.
+    removed: BTreeMap<InstanceId, (u64, Instant)>,
+    /// States from a copy of the store that replace the known ones unless newer ones arrive before.
+    restored: BTreeMap<InstanceId, (Instant, Instance)>,
     departures: Departures,
     evacuations: Evacuations,
     pools: Arc<UpstreamPools>,
@@ -122,9 +131,33 @@
     /// Adds or replaces an instance and cancels its scheduled removal.
     pub fn insert(&mut self, id: InstanceId, instance: Instance) {
         self.removals.remove(&id);
+        self.restored.remove(&id);
+        self.removed.remove(&id);
         self.instances.insert(id, instance);
     }
 
+    /// Adds an instance as a copy of the store shows it, which may be older than what is known.
+    ///
+    /// What is known of the same run stays until `at`, by when the instance has stated its current
+    /// state if it differs from the copy. A run that was about to be stopped, or was removed, is not
+    /// used again on the word of a copy, which the instance itself does not confirm.
+    pub fn insert_restored(&mut self, id: InstanceId, instance: Instance, at: Instant) {
+        let started_ms = instance.started_ms;
+        if self.removed.get(&id).is_some_and(|(started, _)| *started == started_ms) {
+            return;
+        }
+        match self.instances.get(&id).filter(|known| known.started_ms == started_ms) {
+            None => self.insert(id, instance),
+            Some(_) if instance.draining => self.insert(id, instance),
+            Some(known) => {
+                self.removals.remove(&id);
+                if *known != instance && !self.is_leaving(&id, known) {
+                    self.restored.insert(id, (at, instance));
+                }
+            }
+        }
+    }
+
     /// Schedules the removal of an instance; a removal that is already scheduled keeps its time.
     pub fn schedule_removal(&mut self, id: &str, at: Instant) {
         if self.instances.contains_key(id) {
@@ -143,35 +176,50 @@
         instance.draining || self.leaving.get(id) == Some(&instance.started_ms)
     }
 
-    /// Replaces the listing; instances missing from it are scheduled for removal at `at`.
-    pub fn replace_all(&mut self, listed: BTreeMap<InstanceId, Instance>, at: Instant) {
+    /// Schedules the instances that are not listed for removal at `at`.
+    pub fn remove_missing(&mut self, listed: BTreeSet<&InstanceId>, at: Instant) {
         let missing: Vec<InstanceId> =
-            self.instances.keys().filter(|id| !listed.contains_key(*id)).cloned().collect();
+            self.instances.keys().filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
             self.schedule_removal(&id, at);
         }
-        for (id, instance) in listed {
-            self.insert(id, instance);
-        }
     }
 
-    /// Time at which the next scheduled removal is due.
+    /// Time at which the next scheduled removal or replacement is due.
     pub fn next_removal(&self) -> Option<Instant> {
-        self.removals.values().min().copied()
+        self.removals.values().chain(self.restored.values().map(|(at, _)| at)).min().copied()
     }
 
-    /// Whether any scheduled removal is due.
+    /// Whether any scheduled removal or replacement is due.
     pub fn has_due_removals(&self, now: Instant) -> bool {
-        self.removals.values().any(|at| now >= *at)
+        self.next_removal().is_some_and(|at| now >= at)
     }
 
-    /// Removes the instances whose removal is due and returns their ids.
+    /// Removes the instances whose removal is due and returns their ids; applies the replacements
+    /// that are due.
     pub fn apply_due_removals(&mut self, now: Instant) -> Vec<InstanceId> {
+        self.removed.retain(|_, (_, at)| now < *at + REMOVED_RUN_MEMORY);
+        let replaced: Vec<InstanceId> = self
+            .restored
+            .iter()
+            .filter(|(_, (at, _))| now >= *at)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in replaced {
+            if let Some((_, instance)) = self.restored.remove(&id)
+                && self.instances.contains_key(&id)
+            {
+                self.instances.insert(id, instance);
+            }
+        }
         let due: Vec<InstanceId> =
             self.removals.iter().filter(|(_, at)| now >= **at).map(|(id, _)| id.clone()).collect();
         for id in &due {
             self.removals.remove(id);
-            self.instances.remove(id);
+            self.restored.remove(id);
+            if let Some(instance) = self.instances.remove(id) {
+                self.removed.insert(id.clone(), (instance.started_ms, now));
+            }
             self.leaving.remove(id);
         }
         due
@@ -259,6 +307,7 @@
             leaving: self.draining,
             started: self.started_ms,
             staged: engine.staged_models.clone(),
+            models: engine.loaded_models.clone(),
             membership: engine.membership.clone(),
         })
     }
--- a/crates/serving/src/group_controller.rs
+++ b/crates/serving/src/group_controller.rs
@@ -6,6 +6,7 @@
         heartbeat::NodeIdentity,
         interfaces::{InstanceControl, OrderResponse, PlanError, PlanStore},
         membership::LeaderStatus,
+        relay::{EraStart, FactKind},
         tables::Tables,
     },
     std::{
@@ -26,7 +27,8 @@
     },
     turmerictack_model::{
         clock::Clock,
-        ids::{Address, GroupId, InstanceId, Version},
+        ids::{Address, Epoch, Era, GroupId, InstanceId},
+        store_version::StoreVersion,
     },
     turmerictack_telemetry::logs,
 };
@@ -80,7 +82,9 @@
 /// Working state of the leader.
 struct LeaderState {
     planner: GroupPlanner,
-    plan: Option<(Plan, Version)>,
+    plan: Option<(Plan, StoreVersion)>,
+    /// Highest epoch in any plan that this node has read or written.
+    last_epoch: Epoch,
     plan_confirmed_at: Option<Instant>,
     engines: Arc<BTreeMap<InstanceId, EngineInstance>>,
     incomplete_since: BTreeMap<GroupId, Instant>,
@@ -89,6 +93,15 @@
     report_sender: UnboundedSender<TaskReport>,
 }
 
+impl LeaderState {
+    /// Keeps a plan that the store confirmed to be the current one at `asked_at` or later.
+    fn set_plan(&mut self, asked_at: Instant, plan: Plan, version: StoreVersion) {
+        self.last_epoch = self.last_epoch.max(plan.last_epoch);
+        self.plan = Some((plan, version));
+        self.plan_confirmed_at = Some(asked_at);
+    }
+}
+
 impl GroupController {
     /// Starts the controller; `stall_timeout` is the time after which a group head notices a missing
     /// member.
@@ -109,6 +122,7 @@
         let mut state = LeaderState {
             planner: GroupPlanner::new(stall_timeout, DEFAULT_LOAD_LIMITS),
             plan: None,
+            last_epoch: 0,
             plan_confirmed_at: None,
             engines: Arc::default(),
             incomplete_since: BTreeMap::new(),
@@ -197,16 +211,61 @@
             return;
         }
         let Some((plan, version)) = state.plan.clone() else { return };
-        state.planner.set_load_limits(limits);
         let now = self.clock.now();
+        if !self.has_settled_view(now, version.era) {
+            return;
+        }
+        if plan.era < version.era {
+            self.restore_plan(state, models, &plan, version).await;
+            return;
+        }
+        state.planner.set_load_limits(limits);
         let view = self.build_view(state, now, &plan);
         let actions = state.planner.next_actions(now, models, &view, &plan);
         self.execute(state, actions, &plan, version).await;
     }
 
+    /// Whether the instances are known as they are in an era of the store, not as in the copy which
+    /// the store came back from.
+    ///
+    /// A leader that does not know of the era yet has stopped by then, since its plan is too old.
+    fn has_settled_view(&self, now: Instant, era: Era) -> bool {
+        self.tables.facts.with(FactKind::Instances, |facts| {
+            let is_settled = |start: EraStart| now >= start.settles_at();
+            facts.version().era == era && facts.era_start().is_none_or(is_settled)
+        })
+    }
+
+    /// Writes the plan of a new era of the store, before anything is derived from it.
+    async fn restore_plan(
+        &self,
+        state: &mut LeaderState,
+        models: &ModelsByService,
+        plan: &Plan,
+        version: StoreVersion,
+    ) {
+        let engines = self.tables.directory.lock().engine_instances();
+        let restored = plan.restore(version.era, models, &engines, state.last_epoch);
+        let groups = |is_wanted: &dyn Fn(&GroupId) -> bool| {
+            restored.groups.keys().filter(|id| is_wanted(id)).count()
+        };
+        logs::event("plan_restored")
+            .with("era", version.era)
+            .with("groups_adopted", groups(&|id| !plan.groups.contains_key(id)))
+            .with("groups_retiring", groups(&|id| restored.groups[id].retiring))
+            .with("last_epoch", restored.last_epoch)
+            .warn();
+        self.write_plan(state, plan, restored, version).await;
+    }
+
     /// Reads the plan unless it was read or written recently; returns `false` if that fails.
     async fn refresh_plan(&self, state: &mut LeaderState) -> bool {
         let now = self.clock.now();
+        let era = self.plan_store.era();
+        if state.plan.as_ref().is_some_and(|(_, version)| version.era != era) {
+            state.plan = None;
+            state.planner.reset_progress();
+        }
         let is_fresh = state.plan_confirmed_at.is_some_and(|at| now < at + PLAN_MAX_AGE);
         if state.plan.is_some() && is_fresh {
             return true;
@@ -216,8 +275,7 @@
                 if state.plan.as_ref().is_some_and(|(_, known)| *known != version) {
                     state.planner.reset_progress();
                 }
-                state.plan = Some((plan, version));
-                state.plan_confirmed_at = Some(self.clock.now());
+                state.set_plan(now, plan, version);
                 true
             }
             Err(error) => {
@@ -233,17 +291,28 @@
         state: &mut LeaderState,
         actions: Actions,
         plan: &Plan,
-        version: Version,
+        version: StoreVersion,
     ) {
         for (id, address, order) in actions.orders {
             self.send_order(state, id, address, order);
         }
-        let Some(next_plan) = actions.new_plan else { return };
+        if let Some(next_plan) = actions.new_plan {
+            self.write_plan(state, plan, next_plan, version).await;
+        }
+    }
+
+    async fn write_plan(
+        &self,
+        state: &mut LeaderState,
+        plan: &Plan,
+        next_plan: Plan,
+        version: StoreVersion,
+    ) {
+        let now = self.clock.now();
         match self.plan_store.replace(&next_plan, version).await {
             Ok(version) => {
                 log_plan_changes(plan, &next_plan, version);
-                state.plan = Some((next_plan, version));
-                state.plan_confirmed_at = Some(self.clock.now());
+                state.set_plan(now, next_plan, version);
             }
             Err(error) => {
                 // A write that failed may still have taken effect; only reading the plan tells.
@@ -389,7 +458,7 @@
         .info();
 }
 
-fn log_plan_changes(before: &Plan, after: &Plan, version: Version) {
+fn log_plan_changes(before: &Plan, after: &Plan, version: StoreVersion) {
     for (name, group) in &after.groups {
         if !before.groups.contains_key(name) {
             logs::event("group_planned")
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -11,8 +11,9 @@
     std::time::Duration,
     turmerictack_groups::{formation::Order, plan::Plan},
     turmerictack_model::{
-        ids::{Address, EventPosition, InstanceId, Version},
+        ids::{Address, Era, EventPosition, InstanceId},
         rate::RequestRate,
+        store_version::StoreVersion,
     },
 };
 
@@ -193,17 +194,23 @@
 /// Storage of the group plan.
 #[async_trait]
 pub trait PlanStore: Send + Sync {
+    /// Latest era of the store that this node knows of.
+    fn era(&self) -> Era;
+
     /// Reads the plan; returns version 0 and an empty plan if none is stored.
     ///
+    /// In an era in which no plan has been written yet, it returns version 0 and the last plan of an
+    /// earlier era, which may lack changes that the store has lost.
+    ///
     /// # Errors
     /// [`PlanError::Unavailable`] or [`PlanError::Malformed`].
-    async fn read(&self) -> Result<(Plan, Version), PlanError>;
+    async fn read(&self) -> Result<(Plan, StoreVersion), PlanError>;
 
     /// Replaces the plan if its version is still `version`, and returns the new version.
     ///
     /// # Errors
     /// Any [`PlanError`].
-    async fn replace(&self, plan: &Plan, version: Version) -> Result<Version, PlanError>;
+    async fn replace(&self, plan: &Plan, version: StoreVersion) -> Result<StoreVersion, PlanError>;
 }
 
 /// Unreliable datagram transport between nodes.
@@ -235,7 +242,7 @@
         &self,
         relay: &Address,
         kind: FactKind,
-        after: Version,
+        after: StoreVersion,
         wait: Duration,
     ) -> Result<ChangeSet, RelayError>;
 }
--- a/crates/serving/src/relay/board.rs
+++ b/crates/serving/src/relay/board.rs
@@ -6,7 +6,7 @@
     tokio::{sync::Notify, time::timeout},
     turmerictack_model::{
         clock::Clock,
-        ids::Version,
+        store_version::StoreVersion,
         table::{LockRank, Table},
     },
 };
@@ -52,7 +52,8 @@
         self.section(kind).changed.notify_waiters();
     }
 
-    /// Answers a request for the changes after a version; waits for the first one for up to `wait`.
+    /// Answers a request for the changes after a version; waits for the first one for up to `wait`,
+    /// unless this node does not know the era of the version yet.
     ///
     /// # Errors
     /// [`RelayError::NotWatching`] or [`RelayError::HistoryTooShort`].
@@ -60,7 +61,7 @@
         &self,
         clock: &dyn Clock,
         kind: FactKind,
-        after: Version,
+        after: StoreVersion,
         wait: Duration,
     ) -> Result<ChangeSet, RelayError> {
         let arrived_at = clock.now();
@@ -72,7 +73,7 @@
                 // Registers for notifications before the facts are read, so that none is missed.
                 changed.as_mut().enable();
                 let set = read()?;
-                if !set.changes.is_empty() {
+                if !set.changes.is_empty() || set.version.era < after.era {
                     return Ok(set);
                 }
                 changed.await;
--- a/crates/serving/src/relay/facts.rs
+++ b/crates/serving/src/relay/facts.rs
@@ -1,12 +1,12 @@
 //! What a node knows of the objects of one kind, and the changes that it passes on.
 
 use {
-    super::{ChangeSet, ObjectChange, RelayError, digest, digest_part},
+    super::{ChangeSet, EraStart, ObjectChange, RelayError, digest, digest_part},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
-    turmerictack_model::ids::{ObjectName, Version},
+    turmerictack_model::{ids::ObjectName, store_version::StoreVersion},
 };
 
 /// Maximum number of objects whose last changes are kept; a node that lags further behind reads the
@@ -16,9 +16,11 @@
 /// Objects of one kind as a node knows them from the store or a relay.
 #[derive(Debug, Default)]
 pub struct Facts {
-    versions: BTreeMap<ObjectName, Version>,
+    versions: BTreeMap<ObjectName, StoreVersion>,
     digest: u64,
-    version: Version,
+    version: StoreVersion,
+    /// First contact with the current era; `None` if the store states none.
+    era_start: Option<EraStart>,
     confirmed_at: Option<Instant>,
     outage_ended: Option<Instant>,
     /// Whether this node watches the store, so that others may ask it.
@@ -26,16 +28,19 @@
     /// Last change of each object since this node began to watch, up to [`MAX_CHANGES`].
     ///
     /// Earlier changes of an object are of no use to a node that gets the last one.
-    changes: BTreeMap<(Version, ObjectName), ObjectChange>,
+    changes: BTreeMap<(StoreVersion, ObjectName), ObjectChange>,
     /// Version of the change that is kept of an object.
-    logged: BTreeMap<ObjectName, Version>,
+    logged: BTreeMap<ObjectName, StoreVersion>,
     /// Version after which `changes` are complete.
-    complete_after: Version,
+    complete_after: StoreVersion,
+    /// Whether `changes` hold the last change of every object in the current era, so that a node of
+    /// an earlier era can be answered.
+    holds_era: bool,
 }
 
 impl Facts {
     /// Version up to which the known objects are complete; never decreases.
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -49,12 +54,18 @@
         self.outage_ended
     }
 
+    /// First contact with the current era; `None` if the store states no era.
+    pub fn era_start(&self) -> Option<EraStart> {
+        self.era_start
+    }
+
     /// Sets whether this node watches the store for others.
     pub fn set_watching(&mut self, is_watching: bool) {
         if is_watching && !self.is_watching {
             self.changes.clear();
             self.logged.clear();
             self.complete_after = self.version;
+            self.holds_era = false;
         }
         self.is_watching = is_watching;
     }
@@ -63,13 +74,23 @@
     /// known, in which case it is ignored.
     ///
     /// The differences from the known objects are passed on as changes, so a relay that has lost the
-    /// history of the store does not make others lose theirs.
-    pub fn record_listing(&mut self, version: Version, objects: Vec<ObjectChange>) -> bool {
+    /// history of the store does not make others lose theirs. In a new era all objects differ: a
+    /// version that was given out twice does not show whether its object is the same.
+    pub fn record_listing(
+        &mut self,
+        now: Instant,
+        version: StoreVersion,
+        objects: Vec<ObjectChange>,
+    ) -> bool {
         if version < self.version {
             return false;
         }
-        let listed: BTreeMap<ObjectName, Version> =
+        let listed: BTreeMap<ObjectName, StoreVersion> =
             objects.iter().map(|o| (o.name.clone(), o.version)).collect();
+        let is_new_era = version.era > self.version.era;
+        if is_new_era {
+            self.begin_era(now, version);
+        }
         if self.is_watching && self.confirmed_at.is_some() {
             let vanished = self.versions.keys().filter(|name| !listed.contains_key(*name));
             let deletions =
@@ -83,14 +104,14 @@
         self.digest = digest(&listed);
         self.versions = listed;
         self.version = version;
-        if self.confirmed_at.is_none() {
+        if self.confirmed_at.is_none() || is_new_era {
             self.complete_after = version;
         }
         true
     }
 
     /// Records changes after the known version that the store returned, complete up to `version`.
-    pub fn record_changes(&mut self, version: Version, changes: Vec<ObjectChange>) {
+    pub fn record_changes(&mut self, version: StoreVersion, changes: Vec<ObjectChange>) {
         for change in &changes {
             self.apply(change);
         }
@@ -127,8 +148,13 @@
             return Err(RelayError::Behind);
         }
         let known = self.version;
-        let changes: Vec<ObjectChange> =
+        let mut changes: Vec<ObjectChange> =
             set.changes.into_iter().filter(|change| change.version > known).collect();
+        if set.version.era > known.era {
+            let seen = StoreVersion { version: set.era_seen_at, ..set.version };
+            self.begin_era(now, seen);
+            changes.extend(self.missing_from(&changes, set.version));
+        }
         for change in &changes {
             self.apply(change);
         }
@@ -153,14 +179,20 @@
         &self,
         now: Instant,
         arrived_at: Instant,
-        after: Version,
+        after: StoreVersion,
     ) -> Result<ChangeSet, RelayError> {
         let confirmed_at =
             self.confirmed_at.filter(|_| self.is_watching).ok_or(RelayError::NotWatching)?;
-        if after < self.complete_after {
+        let is_known = if after.era < self.version.era {
+            self.holds_era
+        } else {
+            after >= self.complete_after
+        };
+        if !is_known {
             return Err(RelayError::HistoryTooShort);
         }
-        let first = (after.saturating_add(1), ObjectName::new());
+        let era_start = StoreVersion::start_of(self.version.era);
+        let first = (after.next().max(era_start), ObjectName::new());
         let age = |at: Instant| now.saturating_duration_since(at);
         Ok(ChangeSet {
             version: self.version,
@@ -168,6 +200,7 @@
             digest: self.digest,
             confirmed_age: arrived_at.saturating_duration_since(confirmed_at),
             outage_age: self.outage_ended.map(age),
+            era_seen_at: self.era_start.map_or(0, |start| start.version.version),
         })
     }
 
@@ -176,6 +209,25 @@
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
     }
 
+    /// Begins an era: what was known of the one before is of no use to nodes of this one, and entries
+    /// that are missing may appear again as after an outage.
+    fn begin_era(&mut self, now: Instant, seen: StoreVersion) {
+        if self.era_start.is_none_or(|start| start.version.era < seen.era) {
+            self.era_start = Some(EraStart { version: seen, seen_at: now });
+        }
+        self.changes.clear();
+        self.logged.clear();
+        self.holds_era = self.is_watching && self.confirmed_at.is_some();
+        self.record_outage_end(now);
+    }
+
+    /// Deletions of the known objects that are not among all `changes` of a later era.
+    fn missing_from(&self, changes: &[ObjectChange], version: StoreVersion) -> Vec<ObjectChange> {
+        let present: BTreeSet<&ObjectName> = changes.iter().map(|change| &change.name).collect();
+        let missing = self.versions.keys().filter(|name| !present.contains(name));
+        missing.map(|name| ObjectChange { name: name.clone(), version, value: None }).collect()
+    }
+
     fn apply(&mut self, change: &ObjectChange) {
         let replaced = match &change.value {
             Some(_) => self.versions.insert(change.name.clone(), change.version),
@@ -201,6 +253,7 @@
             if let Some(((version, name), _)) = self.changes.pop_first() {
                 self.logged.remove(&name);
                 self.complete_after = version;
+                self.holds_era = false;
             }
         }
     }
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -9,7 +9,7 @@
         load::{LoadTracker, Selection, UpstreamOutcome},
         membership::PeerTable,
         queue::{Admission, Queues, SchedulingParams, Ticket},
-        relay::board::FactBoard,
+        relay::{FactKind, board::FactBoard},
         response_time::{ResponseDurations, ResponseTimes},
         retry_budget::{RetryBudget, RetryBudgetConfig},
         shutdown::Shutdown,
@@ -24,6 +24,7 @@
     tokio::sync::{Notify, oneshot},
     turmerictack_model::{
         ids::{DataCentre, InstanceId, PromptParts},
+        store_version::StoreVersion,
         table::{LockRank, Table},
     },
     turmerictack_routing::crash_records::{CrashRecords, RunState, UpstreamRun},
@@ -175,6 +176,12 @@
         self.config.lock().accept(config)
     }
 
+    /// Takes the configuration that the store shows; see [`ConfigState::offer`].
+    pub fn offer_config(&self, now: Instant, config: Config, version: StoreVersion) -> bool {
+        let era_start = self.facts.with(FactKind::Configuration, |facts| facts.era_start());
+        self.config.lock().offer(now, config, version, era_start)
+    }
+
     /// Whether requests with an API key may be sent now.
     pub fn key_freshness(&self, now: Instant) -> KeyFreshness {
         self.config.lock().key_freshness(now)
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -11,7 +11,7 @@
     rand_pcg::Pcg64Mcg,
     rstest::rstest,
     std::{
-        collections::BTreeMap,
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -251,7 +251,7 @@
     let mut directory = Directory::default();
     directory.insert("p0".to_owned(), plain_instance(0));
     directory.insert("p1".to_owned(), plain_instance(1));
-    directory.replace_all(BTreeMap::new(), now + ms(2_000));
+    directory.remove_missing(BTreeSet::new(), now + ms(2_000));
     assert!(directory.apply_due_removals(now + ms(1_900)).is_empty());
     directory.insert("p0".to_owned(), plain_instance(0));
     assert_eq!(directory.apply_due_removals(now + ms(2_000)), ["p1"]);
--- a/crates/serving/tests/relay.rs
+++ b/crates/serving/tests/relay.rs
@@ -11,6 +11,7 @@
         env,
         time::{Duration, Instant},
     },
+    turmerictack_model::store_version::StoreVersion,
     turmerictack_serving::relay::{
         ChangeSet, ObjectChange, RelayError, digest,
         facts::Facts,
@@ -21,19 +22,25 @@
     },
 };
 
+/// Version of a store that states no era.
+fn at(version: u64) -> StoreVersion {
+    StoreVersion::without_era(version)
+}
+
 fn written(name: &str, version: u64) -> ObjectChange {
-    ObjectChange { name: name.to_owned(), version, value: Some(format!("{{\"v\":{version}}}")) }
+    let value = Some(format!("{{\"v\":{version}}}"));
+    ObjectChange { name: name.to_owned(), version: at(version), value }
 }
 
 fn deleted(name: &str, version: u64) -> ObjectChange {
-    ObjectChange { name: name.to_owned(), version, value: None }
+    ObjectChange { name: name.to_owned(), version: at(version), value: None }
 }
 
 /// A node that watches the store for others, with three objects.
 fn watching(now: Instant) -> Facts {
     let mut facts = Facts::default();
     facts.set_watching(true);
-    facts.record_listing(10, vec![written("a", 3), written("b", 7), written("c", 10)]);
+    facts.record_listing(now, at(10), vec![written("a", 3), written("b", 7), written("c", 10)]);
     facts.record_read(now);
     facts
 }
@@ -41,7 +48,7 @@
 /// A node that has listed the same objects.
 fn following(now: Instant) -> Facts {
     let mut facts = Facts::default();
-    facts.record_listing(10, vec![written("a", 3), written("b", 7), written("c", 10)]);
+    facts.record_listing(now, at(10), vec![written("a", 3), written("b", 7), written("c", 10)]);
     facts.record_read(now);
     facts
 }
@@ -50,13 +57,13 @@
 fn changes_are_followed_up_to_the_relay_s_version() {
     let now = Instant::now();
     let (mut relay, mut follower) = (watching(now), following(now));
-    relay.record_changes(14, vec![written("a", 12), deleted("b", 13), written("d", 14)]);
+    relay.record_changes(at(14), vec![written("a", 12), deleted("b", 13), written("d", 14)]);
     let set = relay.changes_since(now, now, follower.version()).unwrap();
     let changes = follower.follow_relay(now, now, set).unwrap();
     assert_eq!(changes, [written("a", 12), deleted("b", 13), written("d", 14)]);
-    assert_eq!(follower.version(), 14);
+    assert_eq!(follower.version(), at(14));
     // Nothing comes twice.
-    let set = relay.changes_since(now, now, 10).unwrap();
+    let set = relay.changes_since(now, now, at(10)).unwrap();
     assert_eq!(follower.follow_relay(now, now, set), Ok(Vec::new()));
 }
 
@@ -64,12 +71,12 @@
 fn relay_that_knows_less_changes_nothing() {
     let now = Instant::now();
     let (relay, mut follower) = (watching(now), following(now));
-    follower.record_changes(12, vec![written("a", 12)]);
+    follower.record_changes(at(12), vec![written("a", 12)]);
     let confirmed_at = follower.confirmed_at();
-    let set = relay.changes_since(now, now, 12).unwrap();
+    let set = relay.changes_since(now, now, at(12)).unwrap();
     let later = now + Duration::from_secs(1);
     assert_eq!(follower.follow_relay(later, later, set), Err(RelayError::Behind));
-    assert_eq!((follower.version(), follower.confirmed_at()), (12, confirmed_at));
+    assert_eq!((follower.version(), follower.confirmed_at()), (at(12), confirmed_at));
 }
 
 #[rstest]
@@ -78,14 +85,14 @@
 fn missing_change_is_noticed(#[case] missing: usize) {
     let now = Instant::now();
     let (mut relay, mut follower) = (watching(now), following(now));
-    relay.record_changes(14, vec![written("a", 12), written("b", 13), deleted("c", 14)]);
-    let mut set = relay.changes_since(now, now, 10).unwrap();
+    relay.record_changes(at(14), vec![written("a", 12), written("b", 13), deleted("c", 14)]);
+    let mut set = relay.changes_since(now, now, at(10)).unwrap();
     set.changes.remove(missing);
     assert_eq!(follower.follow_relay(now, now, set), Err(RelayError::Incomplete));
-    assert_eq!(follower.version(), 10);
+    assert_eq!(follower.version(), at(10));
     // A listing of the store repairs the view.
-    follower.record_listing(14, vec![written("a", 12), written("b", 13)]);
-    let set = relay.changes_since(now, now, 14).unwrap();
+    follower.record_listing(now, at(14), vec![written("a", 12), written("b", 13)]);
+    let set = relay.changes_since(now, now, at(14)).unwrap();
     assert_eq!(follower.follow_relay(now, now, set), Ok(Vec::new()));
 }
 
@@ -93,8 +100,8 @@
 fn lost_history_of_the_store_is_passed_on_as_differences() {
     let now = Instant::now();
     let (mut relay, mut follower) = (watching(now), following(now));
-    relay.record_listing(30, vec![written("a", 3), written("c", 25), written("e", 28)]);
-    let set = relay.changes_since(now, now, 10).unwrap();
+    relay.record_listing(now, at(30), vec![written("a", 3), written("c", 25), written("e", 28)]);
+    let set = relay.changes_since(now, now, at(10)).unwrap();
     let changes = follower.follow_relay(now, now, set).unwrap();
     assert_eq!(changes, [written("c", 25), written("e", 28), deleted("b", 30)]);
 }
@@ -109,29 +116,29 @@
     let (mut relay, mut follower) = (watching(now), following(now));
     for version in 11..1_000 {
         let name = names[version as usize % names.len()];
-        relay.record_changes(version, vec![written(name, version)]);
+        relay.record_changes(at(version), vec![written(name, version)]);
     }
-    relay.record_changes(1_000, vec![deleted("b", 1_000)]);
-    let set = relay.changes_since(now, now, 10).unwrap();
+    relay.record_changes(at(1_000), vec![deleted("b", 1_000)]);
+    let set = relay.changes_since(now, now, at(10)).unwrap();
     assert_eq!(set.changes.len(), names.len() + 1);
     assert!(set.changes.is_sorted_by_key(|change| change.version));
     follower.follow_relay(now, now, set).unwrap();
-    assert_eq!(follower.version(), 1_000);
+    assert_eq!(follower.version(), at(1_000));
 }
 
 #[rstest]
 fn node_answers_only_while_it_watches_and_as_far_back_as_it_knows() {
     let now = Instant::now();
     let mut relay = watching(now);
-    assert_eq!(relay.changes_since(now, now, 9), Err(RelayError::HistoryTooShort));
+    assert_eq!(relay.changes_since(now, now, at(9)), Err(RelayError::HistoryTooShort));
     relay.set_watching(false);
-    assert_eq!(relay.changes_since(now, now, 10), Err(RelayError::NotWatching));
-    relay.record_changes(12, vec![written("a", 12)]);
+    assert_eq!(relay.changes_since(now, now, at(10)), Err(RelayError::NotWatching));
+    relay.record_changes(at(12), vec![written("a", 12)]);
     relay.set_watching(true);
-    assert_eq!(relay.changes_since(now, now, 10), Err(RelayError::HistoryTooShort));
-    assert!(relay.changes_since(now, now, 12).is_ok());
+    assert_eq!(relay.changes_since(now, now, at(10)), Err(RelayError::HistoryTooShort));
+    assert!(relay.changes_since(now, now, at(12)).is_ok());
     assert_eq!(
-        Facts::default().changes_since(now, now, 0),
+        Facts::default().changes_since(now, now, at(0)),
         Err(RelayError::NotWatching),
         "a node that has read nothing"
     );
@@ -141,8 +148,8 @@
 fn listing_that_is_older_than_what_is_known_is_ignored() {
     let now = Instant::now();
     let mut facts = following(now);
-    assert!(!facts.record_listing(9, vec![written("z", 9)]));
-    assert_eq!(facts.version(), 10);
+    assert!(!facts.record_listing(now, at(9), vec![written("z", 9)]));
+    assert_eq!(facts.version(), at(10));
 }
 
 /// The confirmation that a follower learns of is never more recent than the read of the store.
@@ -158,7 +165,7 @@
     let read_at = arrived_at - ms(age_ms) + ms(during_ms);
     relay.record_read(read_at);
     let answered_at = arrived_at + ms(400);
-    let set = relay.changes_since(answered_at, arrived_at, 10).unwrap();
+    let set = relay.changes_since(answered_at, arrived_at, at(10)).unwrap();
     follower.follow_relay(answered_at + ms(30), sent_at, set).unwrap();
     assert!(follower.confirmed_at().unwrap() <= read_at);
     assert!(follower.confirmed_at().unwrap() >= sent_at - ms(age_ms));
@@ -167,7 +174,7 @@
 #[rstest]
 fn digest_depends_on_names_and_versions() {
     let of = |pairs: &[(&str, u64)]| {
-        digest(&pairs.iter().map(|(name, version)| ((*name).to_owned(), *version)).collect())
+        digest(&pairs.iter().map(|(name, version)| ((*name).to_owned(), at(*version))).collect())
     };
     let base = of(&[("a", 1), ("b", 2)]);
     for other in [&[("a", 1)][..], &[("a", 2), ("b", 1)], &[("a", 1), ("b", 3)], &[]] {
@@ -325,7 +332,7 @@
     fn play(&self) -> Outcome {
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
         let origin = Instant::now();
-        let at = |ms: u64| origin + Duration::from_millis(ms);
+        let instant = |ms: u64| origin + Duration::from_millis(ms);
         let candidates = candidates(self.nodes, self.data_centres, 12);
         let index: BTreeMap<&str, usize> =
             candidates.iter().enumerate().map(|(i, c)| (c.address.as_str(), i)).collect();
@@ -350,7 +357,7 @@
         let mut roles: Vec<RelayRoles> = vec![RelayRoles::default(); self.nodes];
         let mut applied: Vec<Vec<(u64, u64)>> = vec![Vec::new(); self.nodes];
         for now_ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
-            let now = at(now_ms);
+            let now = instant(now_ms);
             let is_up = now_ms >= store_down_until;
             if is_up && rng.random_range(0..30) == 0 {
                 version += 1;
@@ -448,17 +455,17 @@
                             .collect();
                         let is_due = is_listing || !news.is_empty() || now_ms >= sent_ms + wait_ms;
                         if is_reachable && is_due {
-                            let started = at(sent_ms);
+                            let started = instant(sent_ms);
                             if is_listing {
                                 let all =
                                     objects.iter().map(|(name, v)| written(name, *v)).collect();
-                                node.is_listed = node.facts.record_listing(version, all);
+                                node.is_listed = node.facts.record_listing(now, at(version), all);
                             } else {
                                 let news: Vec<ObjectChange> = news.into_iter().rev().collect();
                                 if !news.is_empty() {
                                     node.paused_until_ms = now_ms + PAUSE_MS;
                                 }
-                                node.facts.record_changes(version, news);
+                                node.facts.record_changes(at(version), news);
                             }
                             node.facts.record_read(started);
                             node.selector.record_store_success();
@@ -479,7 +486,7 @@
                         let is_silent = now_ms < nodes[relay].frozen_until_ms;
                         let after = nodes[n].facts.version();
                         let waited = now_ms >= sent_ms + RELAY_WAIT.as_millis() as u64;
-                        let arrived_at = at(sent_ms + LATENCY_MS);
+                        let arrived_at = instant(sent_ms + LATENCY_MS);
                         let answer = match (is_dead, is_silent) {
                             (true, _) => Some(Err(RelayError::NoResponse)),
                             (_, true)
@@ -500,7 +507,7 @@
                         let node = &mut nodes[n];
                         node.pending = None;
                         let followed = answer.and_then(|set: ChangeSet| {
-                            node.facts.follow_relay(now, at(sent_ms), set)
+                            node.facts.follow_relay(now, instant(sent_ms), set)
                         });
                         match followed {
                             Ok(changes) => {
@@ -524,7 +531,7 @@
                 let after = nodes[n].facts.version();
                 outcome.backwards += usize::from(after < before);
                 if after != before {
-                    applied[n].push((now_ms, after));
+                    applied[n].push((now_ms, after.version));
                 }
             }
         }
@@ -556,7 +563,7 @@
                 }
                 let known =
                     applied[n].iter().rev().find(|(ms, _)| *ms <= to).map_or(0, |(_, v)| *v);
-                if known < change.version {
+                if known < change.version.version {
                     outcome.late.push(format!("node {n}: {} of {acked_ms} ms", change.version));
                 }
             }
