--- /dev/null
+++ b/crates/groups/src/held_plan.rs
@@ -0,0 +1,89 @@
+//! The plan as a leader holds it, and when it may act on it.
+
+use {
+    crate::plan::Plan,
+    std::time::{Duration, Instant},
+    turmerictack_model::{
+        ids::{Epoch, Era},
+        store_version::StoreVersion,
+    },
+};
+
+/// Age up to which a plan that was read or written is used without reading it again.
+///
+/// It is shorter than the time after which a new era of the store has settled, so a leader that does
+/// not know of the era has stopped before another one acts in it.
+pub const PLAN_MAX_AGE: Duration = Duration::from_secs(2);
+
+/// What a leader knows of the store and of the instances in it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownEra {
+    /// Latest era that the node knows of.
+    pub latest: Era,
+    /// Era from which the known instances are.
+    pub instances: Era,
+    /// Time from which on the instances are known as they are, not as in the copy that the store came
+    /// back from; `None` if the store states no era.
+    pub settles_at: Option<Instant>,
+}
+
+/// What a leader has to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanStep {
+    /// Read the plan.
+    Read,
+    /// Wait until the instances are known as they are.
+    Wait,
+    /// Write the plan of the era, made with [`Plan::restore`], before anything is derived from it.
+    Restore,
+    /// Act on the plan.
+    Act,
+}
+
+/// Plan that a leader has read or written.
+#[derive(Clone, Debug, Default)]
+pub struct HeldPlan {
+    current: Option<(Plan, StoreVersion)>,
+    confirmed_at: Option<Instant>,
+    last_epoch: Epoch,
+}
+
+impl HeldPlan {
+    /// The plan and its version, if any is held.
+    pub fn current(&self) -> Option<&(Plan, StoreVersion)> {
+        self.current.as_ref()
+    }
+
+    /// Version of the plan, if any is held.
+    pub fn version(&self) -> Option<StoreVersion> {
+        self.current.as_ref().map(|(_, version)| *version)
+    }
+
+    /// Highest epoch in any plan that was held.
+    pub fn last_epoch(&self) -> Epoch {
+        self.last_epoch
+    }
+
+    /// Holds a plan that the store confirmed at `asked_at` or later.
+    pub fn set(&mut self, asked_at: Instant, plan: Plan, version: StoreVersion) {
+        self.last_epoch = self.last_epoch.max(plan.last_epoch);
+        self.current = Some((plan, version));
+        self.confirmed_at = Some(asked_at);
+    }
+
+    /// Drops the plan, so that it is read again.
+    pub fn discard(&mut self) {
+        self.current = None;
+    }
+
+    /// What to do next.
+    pub fn next_step(&self, now: Instant, known: KnownEra) -> PlanStep {
+        let is_fresh = self.confirmed_at.is_some_and(|at| now < at + PLAN_MAX_AGE);
+        let current = self.current.as_ref().filter(|(_, v)| is_fresh && v.era == known.latest);
+        let Some((plan, version)) = current else { return PlanStep::Read };
+        if known.instances != version.era || known.settles_at.is_some_and(|at| now < at) {
+            return PlanStep::Wait;
+        }
+        if plan.era < version.era { PlanStep::Restore } else { PlanStep::Act }
+    }
+}
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod formation;
 pub mod health;
+pub mod held_plan;
 pub mod partition;
 pub mod plan;
 pub mod quota;
--- a/crates/serving/src/group_controller.rs
+++ b/crates/serving/src/group_controller/mod.rs
@@ -1,12 +1,13 @@
 //! Reconciliation of engine groups, run by the one node that is the leader.
 
+mod stored_plan;
+
 use {
     crate::{
         directory::upstream_key,
         heartbeat::NodeIdentity,
-        interfaces::{InstanceControl, OrderResponse, PlanError, PlanStore},
+        interfaces::{InstanceControl, OrderResponse, PlanStore},
         membership::LeaderStatus,
-        relay::{EraStart, FactKind},
         tables::Tables,
     },
     std::{
@@ -23,11 +24,12 @@
             Actions, ClusterView, EngineInstance, GroupPlanner, LoadLimits, ModelsByService, Order,
             OrderResult,
         },
+        held_plan::HeldPlan,
         plan::Plan,
     },
     turmerictack_model::{
         clock::Clock,
-        ids::{Address, Epoch, Era, GroupId, InstanceId},
+        ids::{Address, GroupId, InstanceId},
         store_version::StoreVersion,
     },
     turmerictack_telemetry::logs,
@@ -45,9 +47,6 @@
 /// Time allowed for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Age up to which a plan that was read or written is used without reading it again.
-const PLAN_MAX_AGE: Duration = Duration::from_secs(2);
-
 /// Maximum number of plan updates in one reconciliation.
 const MAX_PLAN_UPDATES: usize = 3;
 
@@ -82,10 +81,7 @@
 /// Working state of the leader.
 struct LeaderState {
     planner: GroupPlanner,
-    plan: Option<(Plan, StoreVersion)>,
-    /// Highest epoch in any plan that this node has read or written.
-    last_epoch: Epoch,
-    plan_confirmed_at: Option<Instant>,
+    plan: HeldPlan,
     engines: Arc<BTreeMap<InstanceId, EngineInstance>>,
     incomplete_since: BTreeMap<GroupId, Instant>,
     directory_version: u64,
@@ -93,15 +89,6 @@
     report_sender: UnboundedSender<TaskReport>,
 }
 
-impl LeaderState {
-    /// Keeps a plan that the store confirmed to be the current one at `asked_at` or later.
-    fn set_plan(&mut self, asked_at: Instant, plan: Plan, version: StoreVersion) {
-        self.last_epoch = self.last_epoch.max(plan.last_epoch);
-        self.plan = Some((plan, version));
-        self.plan_confirmed_at = Some(asked_at);
-    }
-}
-
 impl GroupController {
     /// Starts the controller; `stall_timeout` is the time after which a group head notices a missing
     /// member.
@@ -121,9 +108,7 @@
         let (report_sender, mut report_receiver) = unbounded_channel();
         let mut state = LeaderState {
             planner: GroupPlanner::new(stall_timeout, DEFAULT_LOAD_LIMITS),
-            plan: None,
-            last_epoch: 0,
-            plan_confirmed_at: None,
+            plan: HeldPlan::default(),
             engines: Arc::default(),
             incomplete_since: BTreeMap::new(),
             directory_version: 0,
@@ -140,7 +125,7 @@
             if is_leader != was_leader {
                 was_leader = is_leader;
                 self.tables.lifecycle.lock().is_leader = is_leader;
-                state.plan = None;
+                state.plan.discard();
                 state.planner.reset_progress();
                 logs::event("group_leadership_changed").with("is_leader", is_leader).info();
             }
@@ -191,9 +176,9 @@
     async fn reconcile(&self, state: &mut LeaderState) {
         let Some((models, limits)) = self.model_config() else { return };
         for _ in 0..MAX_PLAN_UPDATES {
-            let before = state.plan.as_ref().map(|(_, version)| *version);
+            let before = state.plan.version();
             self.reconcile_once(state, &models, limits).await;
-            let after = state.plan.as_ref().map(|(_, version)| *version);
+            let after = state.plan.version();
             // An updated plan may allow further orders, which should not wait for the next tick.
             if after.is_none() || after == before {
                 return;
@@ -207,85 +192,17 @@
         models: &ModelsByService,
         limits: LoadLimits,
     ) {
-        if !self.refresh_plan(state).await {
+        if !self.prepare_plan(state, models).await {
             return;
         }
-        let Some((plan, version)) = state.plan.clone() else { return };
+        let Some((plan, version)) = state.plan.current().cloned() else { return };
         let now = self.clock.now();
-        if !self.has_settled_view(now, version.era) {
-            return;
-        }
-        if plan.era < version.era {
-            self.restore_plan(state, models, &plan, version).await;
-            return;
-        }
         state.planner.set_load_limits(limits);
         let view = self.build_view(state, now, &plan);
         let actions = state.planner.next_actions(now, models, &view, &plan);
         self.execute(state, actions, &plan, version).await;
     }
 
-    /// Whether the instances are known as they are in an era of the store, not as in the copy which
-    /// the store came back from.
-    ///
-    /// A leader that does not know of the era yet has stopped by then, since its plan is too old.
-    fn has_settled_view(&self, now: Instant, era: Era) -> bool {
-        self.tables.facts.with(FactKind::Instances, |facts| {
-            let is_settled = |start: EraStart| now >= start.settles_at();
-            facts.version().era == era && facts.era_start().is_none_or(is_settled)
-        })
-    }
-
-    /// Writes the plan of a new era of the store, before anything is derived from it.
-    async fn restore_plan(
-        &self,
-        state: &mut LeaderState,
-        models: &ModelsByService,
-        plan: &Plan,
-        version: StoreVersion,
-    ) {
-        let engines = self.tables.directory.lock().engine_instances();
-        let restored = plan.restore(version.era, models, &engines, state.last_epoch);
-        let groups = |is_wanted: &dyn Fn(&GroupId) -> bool| {
-            restored.groups.keys().filter(|id| is_wanted(id)).count()
-        };
-        logs::event("plan_restored")
-            .with("era", version.era)
-            .with("groups_adopted", groups(&|id| !plan.groups.contains_key(id)))
-            .with("groups_retiring", groups(&|id| restored.groups[id].retiring))
-            .with("last_epoch", restored.last_epoch)
-            .warn();
-        self.write_plan(state, plan, restored, version).await;
-    }
-
-    /// Reads the plan unless it was read or written recently; returns `false` if that fails.
-    async fn refresh_plan(&self, state: &mut LeaderState) -> bool {
-        let now = self.clock.now();
-        let era = self.plan_store.era();
-        if state.plan.as_ref().is_some_and(|(_, version)| version.era != era) {
-            state.plan = None;
-            state.planner.reset_progress();
-        }
-        let is_fresh = state.plan_confirmed_at.is_some_and(|at| now < at + PLAN_MAX_AGE);
-        if state.plan.is_some() && is_fresh {
-            return true;
-        }
-        match self.plan_store.read().await {
-            Ok((plan, version)) => {
-                if state.plan.as_ref().is_some_and(|(_, known)| *known != version) {
-                    state.planner.reset_progress();
-                }
-                state.set_plan(now, plan, version);
-                true
-            }
-            Err(error) => {
-                logs::event("plan_read_failed").with("cause", error).warn();
-                state.plan = None;
-                false
-            }
-        }
-    }
-
     async fn execute(
         &self,
         state: &mut LeaderState,
@@ -301,31 +218,6 @@
         }
     }
 
-    async fn write_plan(
-        &self,
-        state: &mut LeaderState,
-        plan: &Plan,
-        next_plan: Plan,
-        version: StoreVersion,
-    ) {
-        let now = self.clock.now();
-        match self.plan_store.replace(&next_plan, version).await {
-            Ok(version) => {
-                log_plan_changes(plan, &next_plan, version);
-                state.set_plan(now, next_plan, version);
-            }
-            Err(error) => {
-                // A write that failed may still have taken effect; only reading the plan tells.
-                logs::event("plan_write_failed")
-                    .with("cause", error)
-                    .with("version", version)
-                    .with("conflict", error == PlanError::Conflict)
-                    .warn();
-                state.plan = None;
-            }
-        }
-    }
-
     fn send_order(&self, state: &LeaderState, id: InstanceId, address: Address, order: Order) {
         let (instance_control, report_sender) =
             (Arc::clone(&self.instance_control), state.report_sender.clone());
@@ -457,20 +349,3 @@
         .with("response", response)
         .info();
 }
-
-fn log_plan_changes(before: &Plan, after: &Plan, version: StoreVersion) {
-    for (name, group) in &after.groups {
-        if !before.groups.contains_key(name) {
-            logs::event("group_planned")
-                .with("group", name)
-                .with("model", &group.model)
-                .with("epoch", group.epoch)
-                .with("members", group.members.join(","))
-                .with("plan_version", version)
-                .info();
-        }
-    }
-    for name in before.groups.keys().filter(|n| !after.groups.contains_key(*n)) {
-        logs::event("group_retired").with("group", name).with("plan_version", version).info();
-    }
-}
