--- a/crates/groups/src/formation/restoration.rs
+++ b/crates/groups/src/formation/restoration.rs
@@ -53,8 +53,8 @@
     }
 }
 
-/// Returns a group of the copy as it is to go on: as it is if all its listed members report it, and
-/// retired without those that have been found elsewhere if not; `None` if nothing is left of it.
+/// Returns a group of the copy as it is to go on: as it is if all its members report it, and retired
+/// without those that have been found elsewhere if not; `None` if nothing is left of it.
 fn confirm(
     id: &GroupId,
     mut group: PlannedGroup,
@@ -65,7 +65,7 @@
         engines.get(member).is_some_and(|engine| member_phase(engine, id, &group).is_some())
     };
     let is_listed = |member: &InstanceId| engines.contains_key(member);
-    if group.members.iter().all(|member| reports(member) || !is_listed(member)) {
+    if group.members.iter().all(reports) {
         return Some(group);
     }
     let is_over = group.members.iter().all(|member| is_listed(member) && !reports(member));
--- a/crates/groups/src/held_plan.rs
+++ b/crates/groups/src/held_plan.rs
@@ -22,9 +22,11 @@
     pub latest: Era,
     /// Era from which the known instances are.
     pub instances: Era,
-    /// Time from which on the instances are known as they are, not as in the copy that the store came
-    /// back from; `None` if the store states no era.
+    /// Time from which on the store shows the instances as they are, not as in the copy that it came
+    /// back from; `None` if it states no era.
     pub settles_at: Option<Instant>,
+    /// Start of the last read of the instances.
+    pub confirmed_at: Option<Instant>,
 }
 
 /// What a leader has to do next.
@@ -81,7 +83,8 @@
         let is_fresh = self.confirmed_at.is_some_and(|at| now < at + PLAN_MAX_AGE);
         let current = self.current.as_ref().filter(|(_, v)| is_fresh && v.era == known.latest);
         let Some((plan, version)) = current else { return PlanStep::Read };
-        if known.instances != version.era || known.settles_at.is_some_and(|at| now < at) {
+        let is_settled = known.settles_at.is_none_or(|at| known.confirmed_at >= Some(at));
+        if known.instances != version.era || !is_settled {
             return PlanStep::Wait;
         }
         if plan.era < version.era { PlanStep::Restore } else { PlanStep::Act }
--- a/crates/groups/tests/era_histories.rs
+++ b/crates/groups/tests/era_histories.rs
@@ -198,7 +198,8 @@
                 if self.without == Without::Settling { Duration::ZERO } else { SETTLE_TIME };
             node.known.settles_at = Some(instant + settle_time);
         }
-        node.known = KnownEra { latest: self.era, instances: self.era, ..node.known };
+        let confirmed_at = Some(instant);
+        node.known = KnownEra { latest: self.era, instances: self.era, confirmed_at, ..node.known };
         for (id, engine) in &node.view {
             let group = engine.membership.as_ref().map(|m| &m.group);
             node.departures.observe(instant, id, engine.started, group);
--- a/crates/serving/src/group_controller/stored_plan.rs
+++ b/crates/serving/src/group_controller/stored_plan.rs
@@ -41,6 +41,7 @@
             latest: self.plan_store.era(),
             instances: facts.version().era,
             settles_at: facts.era_start().as_ref().map(EraStart::settles_at),
+            confirmed_at: facts.confirmed_at(),
         })
     }
 
