--- a/crates/serving/tests/store_eras.rs
+++ b/crates/serving/tests/store_eras.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use {
-    common::config,
+    common::{config, plain_instance},
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
     rstest::rstest,
@@ -17,6 +17,7 @@
     turmerictack_model::{ids::Era, store_version::StoreVersion},
     turmerictack_serving::{
         config_state::{ConfigState, KeyFreshness},
+        directory::{Directory, Instance},
         relay::{EraStart, ObjectChange, REWRITE_PERIOD, RelayError, facts::Facts},
     },
 };
@@ -162,6 +163,49 @@
     assert!(matches!(state.key_freshness(after), KeyFreshness::Outdated { .. }));
 }
 
+fn instance(slots: u32, draining: bool) -> Instance {
+    Instance { slots, draining, ..plain_instance(0) }
+}
+
+/// What is known of a run, what the copy lists of it, and the slots and state before and after the
+/// time in which it may be written again.
+#[rstest]
+#[case::older_state_waits(instance(3, false), instance(2, false), (3, false), (2, false))]
+#[case::run_that_is_leaving_stays_so(instance(3, true), instance(3, false), (3, true), (3, true))]
+#[case::leaving_counts_at_once(instance(3, false), instance(3, true), (3, true), (3, true))]
+fn entry_of_the_copy_does_not_replace_a_newer_one(
+    #[case] known: Instance,
+    #[case] listed: Instance,
+    #[case] before: (u32, bool),
+    #[case] after: (u32, bool),
+) {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.insert("p0".to_owned(), known);
+    directory.insert_restored("p0".to_owned(), listed, now + REWRITE_PERIOD);
+    for (at, expected) in [(now, before), (now + REWRITE_PERIOD, after)] {
+        assert!(directory.apply_due_removals(at).is_empty());
+        let instance = directory.get("p0").unwrap();
+        assert_eq!((instance.slots, instance.draining), expected);
+    }
+}
+
+#[rstest]
+fn removed_run_comes_back_only_when_it_writes_itself() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.insert("p0".to_owned(), plain_instance(0));
+    directory.schedule_removal("p0", now);
+    assert_eq!(directory.apply_due_removals(now), ["p0"]);
+    directory.insert_restored("p0".to_owned(), plain_instance(0), now);
+    assert!(directory.get("p0").is_none());
+    let restarted = Instance { started_ms: plain_instance(0).started_ms + 1, ..plain_instance(0) };
+    directory.insert_restored("p0".to_owned(), restarted, now);
+    assert!(directory.get("p0").is_some());
+    directory.insert("p0".to_owned(), plain_instance(0));
+    assert!(directory.get("p0").is_some());
+}
+
 /// A safeguard that a history does without.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Without {
