--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,8 +4,8 @@
     bincode::{Decode, Encode},
     std::time::Duration,
     turmerictack_model::ids::{
-        Address, DataCentre, Epoch, GroupId, Incarnation, InstanceId, NodeId, ObjectName, Revision,
-        Version,
+        Address, DataCentre, Epoch, Era, GroupId, Incarnation, InstanceId, NodeId, ObjectName,
+        Revision, Version,
     },
 };
 
@@ -137,6 +137,10 @@
     pub confirmed_age_ms: u32,
     /// Time in ms since the end of the last outage of the store.
     pub outage_age_ms: Option<u32>,
+    /// Era of the store that all versions belong to.
+    pub era: Era,
+    /// Version at which the era was first seen.
+    pub era_seen_at: Version,
 }
 
 /// Request to another node.
@@ -174,6 +178,8 @@
         after: Version,
         /// Time in ms for which the request may be held open until there is a change.
         wait_ms: u32,
+        /// Era of the store that `after` belongs to.
+        era: Era,
     },
 }
 
--- a/crates/serving/src/group_controller.rs
+++ b/crates/serving/src/group_controller/mod.rs
@@ -1,10 +1,12 @@
 //! Reconciliation of engine groups, run by the one node that is the leader.
 
+mod stored_plan;
+
 use {
     crate::{
         directory::upstream_key,
         heartbeat::NodeIdentity,
-        interfaces::{InstanceControl, OrderResponse, PlanError, PlanStore},
+        interfaces::{InstanceControl, OrderResponse, PlanStore},
         membership::LeaderStatus,
         tables::Tables,
     },
@@ -22,11 +24,13 @@
             Actions, ClusterView, EngineInstance, GroupPlanner, LoadLimits, ModelsByService, Order,
             OrderResult,
         },
+        held_plan::HeldPlan,
         plan::Plan,
     },
     turmerictack_model::{
         clock::Clock,
-        ids::{Address, DataCentre, GroupId, InstanceId, Version},
+        ids::{Address, DataCentre, GroupId, InstanceId},
+        store_version::StoreVersion,
     },
     turmerictack_telemetry::logs,
 };
@@ -43,9 +47,6 @@
 /// Time allowed for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Age up to which a plan that was read or written is used without reading it again.
-const PLAN_MAX_AGE: Duration = Duration::from_secs(2);
-
 /// Maximum number of plan updates in one reconciliation.
 const MAX_PLAN_UPDATES: usize = 3;
 
@@ -80,8 +81,7 @@
 /// Working state of the leader.
 struct LeaderState {
     planner: GroupPlanner,
-    plan: Option<(Plan, Version)>,
-    plan_confirmed_at: Option<Instant>,
+    plan: HeldPlan,
     engines: Arc<BTreeMap<InstanceId, EngineInstance>>,
     incomplete_since: BTreeMap<GroupId, Instant>,
     directory_version: u64,
@@ -108,8 +108,7 @@
         let (report_sender, mut report_receiver) = unbounded_channel();
         let mut state = LeaderState {
             planner: GroupPlanner::new(stall_timeout, DEFAULT_LOAD_LIMITS),
-            plan: None,
-            plan_confirmed_at: None,
+            plan: HeldPlan::default(),
             engines: Arc::default(),
             incomplete_since: BTreeMap::new(),
             directory_version: 0,
@@ -126,7 +125,7 @@
             if is_leader != was_leader {
                 was_leader = is_leader;
                 self.tables.lifecycle.lock().is_leader = is_leader;
-                state.plan = None;
+                state.plan.discard();
                 state.planner.reset_progress();
                 logs::event("group_leadership_changed").with("is_leader", is_leader).info();
             }
@@ -178,9 +177,9 @@
     async fn reconcile(&self, state: &mut LeaderState) {
         let Some((models, limits)) = self.model_config() else { return };
         for _ in 0..MAX_PLAN_UPDATES {
-            let before = state.plan.as_ref().map(|(_, version)| *version);
+            let before = state.plan.version();
             self.reconcile_once(state, &models, limits).await;
-            let after = state.plan.as_ref().map(|(_, version)| *version);
+            let after = state.plan.version();
             // An updated plan may allow further orders, which should not wait for the next tick.
             if after.is_none() || after == before {
                 return;
@@ -194,67 +193,29 @@
         models: &ModelsByService,
         limits: LoadLimits,
     ) {
-        if !self.refresh_plan(state).await {
+        if !self.prepare_plan(state, models).await {
             return;
         }
-        let Some((plan, version)) = state.plan.clone() else { return };
-        state.planner.set_load_limits(limits);
+        let Some((plan, version)) = state.plan.current().cloned() else { return };
         let now = self.clock.now();
+        state.planner.set_load_limits(limits);
         let view = self.build_view(state, now, &plan);
         let actions = state.planner.next_actions(now, models, &view, &plan);
         self.execute(state, actions, &plan, version).await;
     }
 
-    /// Reads the plan unless it was read or written recently; returns `false` if that fails.
-    async fn refresh_plan(&self, state: &mut LeaderState) -> bool {
-        let now = self.clock.now();
-        let is_fresh = state.plan_confirmed_at.is_some_and(|at| now < at + PLAN_MAX_AGE);
-        if state.plan.is_some() && is_fresh {
-            return true;
-        }
-        match self.plan_store.read().await {
-            Ok((plan, version)) => {
-                if state.plan.as_ref().is_some_and(|(_, known)| *known != version) {
-                    state.planner.reset_progress();
-                }
-                state.plan = Some((plan, version));
-                state.plan_confirmed_at = Some(self.clock.now());
-                true
-            }
-            Err(error) => {
-                logs::event("plan_read_failed").with("cause", error).warn();
-                state.plan = None;
-                false
-            }
-        }
-    }
-
     async fn execute(
         &self,
         state: &mut LeaderState,
         actions: Actions,
         plan: &Plan,
-        version: Version,
+        version: StoreVersion,
     ) {
         for (id, address, order) in actions.orders {
             self.send_order(state, id, address, order);
         }
-        let Some(next_plan) = actions.new_plan else { return };
-        match self.plan_store.replace(&next_plan, version).await {
-            Ok(version) => {
-                log_plan_changes(plan, &next_plan, version);
-                state.plan = Some((next_plan, version));
-                state.plan_confirmed_at = Some(self.clock.now());
-            }
-            Err(error) => {
-                // A write that failed may still have taken effect; only reading the plan tells.
-                logs::event("plan_write_failed")
-                    .with("cause", error)
-                    .with("version", version)
-                    .with("conflict", error == PlanError::Conflict)
-                    .warn();
-                state.plan = None;
-            }
+        if let Some(next_plan) = actions.new_plan {
+            self.write_plan(state, plan, next_plan, version).await;
         }
     }
 
@@ -393,20 +354,3 @@
         .with("response", response)
         .info();
 }
-
-fn log_plan_changes(before: &Plan, after: &Plan, version: Version) {
-    for (name, group) in &after.groups {
-        if !before.groups.contains_key(name) {
-            logs::event("group_planned")
-                .with("group", name)
-                .with("model", &group.model)
-                .with("epoch", group.epoch)
-                .with("members", group.members.join(","))
-                .with("plan_version", version)
-                .info();
-        }
-    }
-    for name in before.groups.keys().filter(|n| !after.groups.contains_key(*n)) {
-        logs::event("group_retired").with("group", name).with("plan_version", version).info();
-    }
-}
--- a/crates/serving/tests/evacuations.rs
+++ b/crates/serving/tests/evacuations.rs
@@ -22,7 +22,8 @@
     turmerictack_groups::{formation::Order, plan::Plan},
     turmerictack_model::{
         clock::SystemClock,
-        ids::{Address, InstanceId, Version},
+        ids::{Address, Era, InstanceId},
+        store_version::StoreVersion,
     },
     turmerictack_serving::{
         directory::{Instance, upstream_key},
@@ -278,11 +279,15 @@
 
 #[async_trait]
 impl PlanStore for RecordingEngines {
-    async fn read(&self) -> Result<(Plan, Version), PlanError> {
-        Ok((Plan::default(), 0))
+    fn era(&self) -> Era {
+        0
     }
 
-    async fn replace(&self, _: &Plan, _: Version) -> Result<Version, PlanError> {
+    async fn read(&self) -> Result<(Plan, StoreVersion), PlanError> {
+        Ok((Plan::default(), StoreVersion::default()))
+    }
+
+    async fn replace(&self, _: &Plan, _: StoreVersion) -> Result<StoreVersion, PlanError> {
         Err(PlanError::Unavailable)
     }
 }
