Let no earlier run in a copy of the store replace a later one

Cause: found in review. An entry of the copy was compared with what is known of the same run only, so the entry of an earlier run, which the instance had before it restarted in the lost seconds, took effect at once: its old address and membership, and the later run counted as crashed. Change: an earlier run waits like an older state of the same run, and does not come back if a later one was removed. What comes back from the copy counts as a change of the entry for cold starts too.

--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -175,17 +175,19 @@
 
     /// Adds an instance as a copy of the store shows it, which may be older than what is known.
     ///
-    /// What is known of the same run stays until `at`, by when the instance has stated its current
+    /// What is known of the same run, or a later one, stays until `at`, by when the instance has stated its current
     /// state if it differs from the copy. A run that was about to be stopped, or was removed, is not
     /// used again on the word of a copy, which the instance itself does not confirm.
     pub fn insert_restored(&mut self, id: InstanceId, instance: Instance, at: Instant) {
         let started_ms = instance.started_ms;
-        if self.removed.get(&id).is_some_and(|(started, _)| *started == started_ms) {
+        if self.removed.get(&id).is_some_and(|(started, _)| *started >= started_ms) {
             return;
         }
-        match self.instances.get(&id).filter(|known| known.started_ms == started_ms) {
+        match self.instances.get(&id).filter(|known| known.started_ms >= started_ms) {
             None => self.insert(id, instance),
-            Some(_) if instance.draining => self.insert(id, instance),
+            Some(known) if instance.draining && known.started_ms == started_ms => {
+                self.insert(id, instance);
+            }
             Some(known) => {
                 self.removals.remove(&id);
                 if *known != instance && !self.is_leaving(&id, known) {
@@ -246,6 +248,7 @@
             if let Some((_, instance)) = self.restored.remove(&id)
                 && self.instances.contains_key(&id)
             {
+                self.cold_entries.mark_changed(id.clone());
                 self.instances.insert(id, instance);
             }
         }
--- a/crates/serving/tests/store_eras.rs
+++ b/crates/serving/tests/store_eras.rs
@@ -206,6 +206,21 @@
     assert!(directory.get("p0").is_some());
 }
 
+/// Guards against a restart in the lost seconds that the copy takes back.
+#[rstest]
+fn earlier_run_in_a_copy_does_not_replace_a_later_one() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    let later = Instance { started_ms: plain_instance(0).started_ms + 1, ..plain_instance(0) };
+    directory.insert("p0".to_owned(), later.clone());
+    directory.insert_restored("p0".to_owned(), plain_instance(0), now + REWRITE_PERIOD);
+    assert_eq!(directory.get("p0"), Some(&later));
+    directory.schedule_removal("p0", now);
+    assert_eq!(directory.apply_due_removals(now), ["p0"]);
+    directory.insert_restored("p0".to_owned(), plain_instance(0), now);
+    assert!(directory.get("p0").is_none());
+}
+
 /// A safeguard that a history does without.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Without {
