Ignore reported epochs outside the era when the plan is restored

An entry with an absurd epoch would have set the counter to its largest value, after which it begins again at 0. Change: epochs above the range of the era, which nobody gave out, are ignored.

--- a/crates/groups/src/formation/restoration.rs
+++ b/crates/groups/src/formation/restoration.rs
@@ -35,8 +35,11 @@
         let mut plan = self.clone();
         plan.era = era;
         let memberships = || engines.values().filter_map(|engine| engine.membership.as_ref());
-        let reported = memberships().map(|m| m.epoch).max().unwrap_or(0);
         let first = era.saturating_mul(1 << EPOCH_BITS_PER_ERA);
+        let end = first.saturating_add(1 << EPOCH_BITS_PER_ERA);
+        // Higher ones were never given out.
+        let reported =
+            memberships().map(|m| m.epoch).filter(|epoch| *epoch < end).max().unwrap_or(0);
         plan.last_epoch = plan.last_epoch.max(reported).max(last_epoch).max(first);
         let adopted = adopted_groups(&plan, models, engines);
         let taken: BTreeSet<&InstanceId> = adopted.values().flat_map(|g| &g.members).collect();
