Keep no node out of an upstream that only it paces

Cause: found in review. After a failure that one node saw, it compared the requests of all nodes with a bound that the others don't keep, and sent nothing until the pace ended after 30 s. A cold upstream was shared out among all nodes, though few may send to it. With nothing free and no demand, the share was no number and counted as one request. Change: such a pace ends once the others alone reach the bound, and its share counts the nodes that keep it. What is free is divided among those that may send. Ruled out: to drop these paces; an upstream that is back from failures would be flooded again by the node that saw them.

--- a/crates/serving/src/load/paces.rs
+++ b/crates/serving/src/load/paces.rs
@@ -43,9 +43,19 @@
     ) {
         let in_flight = self.in_flight_of(now, self.paces.paced());
         let overdue = self.overdue_in_flight(now, self.paces.paced());
-        let peers = self.peer_loads.len();
-        let interval =
-            Interval { peers, peer_timeout, in_flight: &in_flight, overdue: &overdue, waiting };
+        let local = |key: &UpstreamKey| self.by_key.get(key).map_or(0, |l| l.local_in_flight);
+        let elsewhere = in_flight.iter().map(|(key, all)| (*key, all.saturating_sub(local(key))));
+        let elsewhere = elsewhere.collect();
+        let allowances = &self.allowances;
+        let interval = Interval {
+            peers: self.peer_loads.len(),
+            peer_timeout,
+            in_flight: &in_flight,
+            elsewhere: &elsewhere,
+            overdue: &overdue,
+            waiting,
+            nodes_per_sender: &|upstream| allowances.nodes_per_sender(now, upstream),
+        };
         self.paces.begin_interval(now, &interval, rng);
     }
 
--- a/crates/serving/src/load/room.rs
+++ b/crates/serving/src/load/room.rs
@@ -23,7 +23,8 @@
         if let Some(pace) = self.paces.limit(upstream.key) {
             let bound = pace.bound.min(upstream.slots);
             let reserved_slots = (f64::from(bound) * reserved_share) as u32;
-            let in_flight = estimate.saturating_sub(pace.overdue);
+            let local = self.by_key.get(&upstream.key).map_or(0, |l| l.local_in_flight);
+            let in_flight = estimate.saturating_sub(pace.overdue).max(local);
             let has_room = pace.sends_left > 0 && in_flight + reserved_slots < bound;
             return has_room.then_some(in_flight);
         }
--- a/crates/serving/src/pace/mod.rs
+++ b/crates/serving/src/pace/mod.rs
@@ -299,7 +299,7 @@
             let is_finished =
                 |p: &Pace| p.bound.has_reached_slots() || now >= p.began_at + MAX_PACED_TIME;
             if let Some(pace) = tracked.pace.take_if(|p| is_finished(p)) {
-                tracked.ended_at = Some(now);
+                tracked.ended_at = Some(now).filter(|_| pace.reason.is_listed());
                 self.changes.push(PaceChange::Ended {
                     upstream: tracked.upstream.instance.clone(),
                     after: now.saturating_duration_since(pace.began_at),
--- a/crates/serving/src/pace/sharing.rs
+++ b/crates/serving/src/pace/sharing.rs
@@ -3,7 +3,7 @@
 use {
     super::{Pace, Paces, peers::PeerCounts},
     crate::{
-        directory::PoolKey,
+        directory::{PoolKey, Upstream},
         membership::{HEARTBEAT_INTERVAL, heartbeat_round},
         spread::SendRate,
     },
@@ -29,10 +29,14 @@
     pub peer_timeout: Duration,
     /// Requests in flight at paced upstreams, over all nodes.
     pub in_flight: &'a BTreeMap<UpstreamKey, u32>,
+    /// Those of them that are of other nodes.
+    pub elsewhere: &'a BTreeMap<UpstreamKey, u32>,
     /// Those of them that only overdue reports of peers name.
     pub overdue: &'a BTreeMap<UpstreamKey, u32>,
     /// Number of requests of this node that wait for an upstream of a pool.
     pub waiting: &'a dyn Fn(&PoolKey) -> usize,
+    /// Number of nodes for each that may send to an upstream at all.
+    pub nodes_per_sender: &'a dyn Fn(&Upstream) -> f64,
 }
 
 impl Paces {
@@ -50,7 +54,6 @@
     pub fn begin_interval(&mut self, now: Instant, interval: &Interval<'_>, rng: &mut dyn Rng) {
         self.round = heartbeat_round(interval.peers);
         let intervals = self.round.as_secs_f64() / HEARTBEAT_INTERVAL.as_secs_f64();
-        self.end_finished(now);
         for (key, tracked) in &mut self.by_key {
             let Some(pace) = &mut tracked.pace else { continue };
             let waiting = (interval.waiting)(&tracked.pool);
@@ -61,13 +64,20 @@
             pace.overdue = interval.overdue.get(key).copied().unwrap_or(0);
             let in_flight = interval.in_flight.get(key).copied().unwrap_or(0);
             let in_flight = in_flight.saturating_sub(pace.overdue);
+            let elsewhere = interval.elsewhere.get(key).copied().unwrap_or(0);
+            if !pace.reason.is_listed() && elsewhere >= pace.bound.current() {
+                // The others don't hold back, and would keep this node away.
+                pace.bound.open();
+            }
             let free = f64::from(pace.bound.current().saturating_sub(in_flight));
-            let senders = pace.senders(now, interval) as f64;
+            let nodes_per_sender = (interval.nodes_per_sender)(&tracked.upstream);
+            let senders = (pace.senders(now, interval) as f64 / nodes_per_sender).max(1.0);
             let share = free / senders / intervals.max(MIN_INTERVALS);
             let share = (share / expected.min(1.0)).min(share.max(1.0));
-            let share = if share.is_finite() { share } else { 0.0 };
+            let share = if free > 0.0 && share.is_finite() { share } else { 0.0 };
             pace.sends_left = share as u32 + u32::from(rng.random::<f64>() < share.fract());
         }
+        self.end_finished(now);
     }
 
     /// Counts a request for a pool, and whether no upstream had room for it.
@@ -114,9 +124,13 @@
 }
 
 impl Pace {
-    /// Number of nodes among which this node shares what is free: all, but if requests wait here,
-    /// without those that have told that none waits there.
+    /// Number of nodes among which this node shares what is free: those that pace the upstream, which
+    /// are all unless only some have seen a reason; if requests wait here, without those that have
+    /// told that none waits there.
     fn senders(&self, now: Instant, interval: &Interval<'_>) -> usize {
+        if !self.reason.is_listed() {
+            return self.peers.len() + 1;
+        }
         if !self.is_waiting {
             return interval.peers + 1;
         }
--- a/crates/serving/tests/pace.rs
+++ b/crates/serving/tests/pace.rs
@@ -8,7 +8,7 @@
     common::{DATA_CENTRE, addresses, config, group_head},
     rstest::rstest,
     std::time::{Duration, Instant},
-    turmerictack_protocol::heartbeat::HeartbeatPace,
+    turmerictack_protocol::heartbeat::{HeartbeatLoad, HeartbeatPace},
     turmerictack_serving::{
         directory::{Instance, PoolKey, upstream_key},
         load::{OVERLOAD_COOLDOWN, UNREACHABLE_COOLDOWN, UpstreamOutcome},
@@ -228,6 +228,30 @@
     assert_eq!((bound(&nodes[0]), bound(&nodes[1])), (Some(10), None));
 }
 
+/// Guards against a node that is shut out where only it holds back.
+#[test]
+fn requests_of_others_end_a_pace_that_only_this_node_keeps() {
+    let now = Instant::now();
+    let tables = node(true, true, now);
+    list(&tables, now, 1, |_| {});
+    send(&tables, now, 10);
+    respond(&tables, now, 30, USUAL);
+    (0..10).for_each(|_| release(&tables, now, UpstreamOutcome::Success));
+    release(&tables, now, UpstreamOutcome::Cooldown(UNREACHABLE_COOLDOWN));
+    let paced = bound(&tables).unwrap();
+    let load = HeartbeatLoad {
+        upstream: upstream_key("e1"),
+        in_flight: u16::try_from(SLOTS / 2).unwrap(),
+        prompt_tokens: 0,
+        progressing: true,
+        stalled: false,
+    };
+    assert!(paced < SLOTS / 2);
+    tables.balancer.lock().loads.merge_peer_loads(now, &"a".to_owned(), &[load]);
+    tables.expire_reports(now);
+    assert_eq!(bound(&tables), None);
+}
+
 /// Guards against upstreams that are left idle where nodes learn too late of each other's requests.
 #[rstest]
 #[case::round_of_450_ms(70, Some(10))]
