--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -8,6 +8,7 @@
         store::Store,
     },
     std::{
+        collections::BTreeMap,
         net::TcpListener,
         sync::{
             Arc, Mutex,
@@ -22,6 +23,8 @@
 
 /// Time of a join of the model that the worker served last, and `openDelayMs`.
 const HOT_JOIN: Duration = Duration::from_millis(200);
+/// `stallMs`.
+const STALL: Duration = Duration::from_millis(4_000);
 const OPEN_DELAY: Duration = Duration::from_millis(300);
 
 /// A request for a stream, as the worker saw it.
@@ -41,6 +44,41 @@
     members: Vec<String>,
 }
 
+impl Group {
+    fn is(&self, other: &Self) -> bool {
+        (&self.name, self.epoch) == (&other.name, other.epoch)
+    }
+}
+
+/// All model workers of a deployment, as the platform sees them.
+#[derive(Clone, Default)]
+pub struct Fabric {
+    workers: Arc<Mutex<BTreeMap<String, Arc<State>>>>,
+    /// Joins of another group while the head of the old one was not done with it.
+    early_joins: Arc<Mutex<Vec<String>>>,
+}
+
+impl Fabric {
+    pub fn early_joins(&self) -> Vec<String> {
+        self.early_joins.lock().expect("the joins").clone()
+    }
+
+    fn worker(&self, id: &str) -> Option<Arc<State>> {
+        self.workers.lock().expect("the workers").get(id).cloned()
+    }
+
+    /// Whether all members of a group are there and in it.
+    fn is_whole(&self, group: &Group) -> bool {
+        let is_in = |id: &String| {
+            self.worker(id).is_some_and(|worker| {
+                let joined = worker.group.lock().expect("the group").clone();
+                joined.is_some_and(|g| g.is(group)) && !worker.has_exited.load(Ordering::SeqCst)
+            })
+        };
+        group.members.iter().all(is_in)
+    }
+}
+
 /// What the configuration says of the model.
 #[derive(Clone, Copy)]
 pub struct Profile {
@@ -54,7 +92,12 @@
     address: String,
     service: String,
     profile: Profile,
+    fabric: Fabric,
     group: Mutex<Option<Group>>,
+    /// Group that it was in last.
+    last_group: Mutex<Option<Group>>,
+    is_draining: AtomicBool,
+    has_exited: AtomicBool,
     is_staged: Mutex<bool>,
     /// Whether the model was that of its last group.
     is_hot: AtomicBool,
@@ -70,10 +113,18 @@
 #[derive(Clone)]
 pub struct EngineWorker {
     state: Arc<State>,
+    listening: http::Listening,
 }
 
 impl EngineWorker {
-    pub fn open(record: &Record, store: &Store, ip: &str, id: &str, profile: Profile) -> Self {
+    pub fn open(
+        record: &Record,
+        store: &Store,
+        fabric: &Fabric,
+        ip: &str,
+        id: &str,
+        profile: Profile,
+    ) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a port for a worker");
         let address = listener.local_addr().expect("an address").to_string();
         let state = Arc::new(State {
@@ -81,7 +132,11 @@
             address,
             service: "asistente".to_owned(),
             profile,
+            fabric: fabric.clone(),
             group: Mutex::default(),
+            last_group: Mutex::default(),
+            is_draining: AtomicBool::new(false),
+            has_exited: AtomicBool::new(false),
             is_staged: Mutex::new(false),
             is_hot: AtomicBool::new(false),
             sequence: AtomicUsize::new(0),
@@ -92,17 +147,56 @@
             record: record.clone(),
         });
         let served = Arc::clone(&state);
-        http::serve(listener, move |request, connection| {
+        let listening = http::serve(listener, move |request, connection| {
             Arc::clone(&served).handle(&request, connection)
         });
+        fabric.workers.lock().expect("the workers").insert(id.to_owned(), Arc::clone(&state));
         state.report();
-        Self { state }
+        Self { state, listening }
     }
 
     pub fn set_pace(&self, first: Duration, between: Duration, events: usize) {
         *self.state.pace.lock().expect("the pace") = (first, between, events);
     }
 
+    pub fn id(&self) -> &str {
+        &self.state.id
+    }
+
+    /// Members of the group that the worker is in; empty if it is in none.
+    pub fn members(&self) -> Vec<String> {
+        let group = self.state.group.lock().expect("the group");
+        group.as_ref().map(|group| group.members.clone()).unwrap_or_default()
+    }
+
+    pub fn is_staged(&self) -> bool {
+        *self.state.is_staged.lock().expect("the weights")
+    }
+
+    pub fn has_exited(&self) -> bool {
+        self.state.has_exited.load(Ordering::SeqCst)
+    }
+
+    /// Drains the worker: it reports that, goes on for `served`, stops listening, and exits when it has
+    /// no more work, `kept` later at the latest.
+    pub fn drain(&self, served: Duration, kept: Duration) {
+        let (state, listening) = (Arc::clone(&self.state), self.listening.clone());
+        state.is_draining.store(true, Ordering::SeqCst);
+        state.report();
+        thread::spawn(move || {
+            thread::sleep(served);
+            listening.stop();
+            state.record.line(&format!("worker {}: has stopped listening", state.id));
+            let end = Instant::now() + kept;
+            while state.running.load(Ordering::SeqCst) > 0 && Instant::now() < end {
+                thread::sleep(Duration::from_millis(5));
+            }
+            state.has_exited.store(true, Ordering::SeqCst);
+            state.record.line(&format!("worker {}: exits", state.id));
+            state.store.remove("servers", &state.id);
+        });
+    }
+
     pub fn works(&self) -> Vec<Work> {
         self.state.works.lock().expect("the works").clone()
     }
@@ -138,9 +232,14 @@
 
     /// Writes the entry of the worker into the store.
     fn report(&self) {
+        if self.has_exited.load(Ordering::SeqCst) {
+            return;
+        }
+        let is_draining = self.is_draining.load(Ordering::SeqCst);
+        let state = if is_draining { "draining" } else { "ready" };
         let entry = format!(
             "{{\"service\":{},\"address\":{},\"zone\":\"norte-a\",\"version\":1,\"slots\":{},\
-             \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{},{}}}",
+             \"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":{},{}}}",
             quote(&self.service),
             quote(&self.address),
             self.profile.slots,
@@ -202,6 +301,7 @@
                 let joined = Group { name, epoch, state: "joining".to_owned(), members };
                 *group = Some(joined.clone());
                 drop(group);
+                self.check_old_group(&joined);
                 let is_hot = self.is_hot.swap(true, Ordering::SeqCst);
                 let time = if is_hot { HOT_JOIN } else { self.profile.warmup };
                 self.later(time, move |state| state.set_phase(&joined, "joining", "ready"));
@@ -248,6 +348,27 @@
         status
     }
 
+    /// Notes a join of another group while the head of the last one is open or closing, or stands still
+    /// and is not yet broken.
+    fn check_old_group(&self, joined: &Group) {
+        let old = self.last_group.lock().expect("the group").replace(joined.clone());
+        let Some(old) = old.filter(|old| !old.is(joined)) else { return };
+        let Some(head) = old.members.first().filter(|head| **head != self.id) else { return };
+        let Some(head) = self.fabric.worker(head) else { return };
+        let state = head.group.lock().expect("the group").clone();
+        let Some(state) = state.filter(|g| g.is(&old)).map(|g| g.state) else { return };
+        let is_busy = matches!(&state[..], "open" | "closing");
+        if is_busy && !head.has_exited.load(Ordering::SeqCst) {
+            let running = head.running.load(Ordering::SeqCst);
+            let text = format!(
+                "{} joins {} while {}, the head of its group {}, is {state} with {running} requests",
+                self.id, joined.name, head.id, old.name
+            );
+            self.record.line(&format!("platform: {text}"));
+            self.fabric.early_joins.lock().expect("the joins").push(text);
+        }
+    }
+
     fn set_phase(&self, meant: &Group, from: &str, to: &str) {
         let mut group = self.group.lock().expect("the group");
         let is_meant =
@@ -330,6 +451,19 @@
             if !connection.wait(if is_first { first } else { between }) {
                 return false;
             }
+            // Without a member, nothing moves, and the group is broken after a while.
+            let stalled_at = Instant::now();
+            while !self.fabric.is_whole(group) {
+                if stalled_at.elapsed() >= STALL {
+                    self.set_phase(group, "open", "broken");
+                    self.set_phase(group, "closing", "broken");
+                    self.report();
+                    return false;
+                }
+                if !connection.wait(Duration::from_millis(10)) {
+                    return false;
+                }
+            }
             // An order to leave takes effect at once.
             let current = self.group.lock().expect("the group").clone();
             if current.is_none_or(|g| (g.name, g.epoch) != (group.name.clone(), group.epoch)) {
--- a/review/standin-2/gone.rs
+++ b/review/standin-2/gone.rs
@@ -5,7 +5,7 @@
     crate::{
         Scene, Verdict,
         client::head,
-        engine::{EngineWorker, MODEL, Profile},
+        engine::{EngineWorker, Fabric, MODEL, Profile},
         http::Connection,
         node::{Limits, Node},
         record::Record,
@@ -120,11 +120,12 @@
 pub fn play(scene: &Scene) -> Verdict {
     let record = &scene.record;
     scene.store.put("config", "main", CONFIG.replace('\n', ""));
+    let fabric = Fabric::default();
     let profile =
         Profile { slots: 4, load: Duration::from_secs(2), warmup: Duration::from_millis(1_100) };
     let open_engine = |i| {
         let id = format!("i-model{i}");
-        EngineWorker::open(record, &scene.store, &scene.ips[0], &id, profile)
+        EngineWorker::open(record, &scene.store, &fabric, &scene.ips[0], &id, profile)
     };
     let engines: Vec<EngineWorker> = (0..2).map(open_engine).collect();
     let node = scene.spawn_node("edge-norte-a-1", &scene.ips[1], &Limits::default());
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -150,16 +153,40 @@
     }
 }
 
+/// Time without a request after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval at which a server looks for new connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Stops a server from listening; its connections go on.
+#[derive(Clone, Default)]
+pub struct Listening(Arc<AtomicBool>);
+
+impl Listening {
+    pub fn stop(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Serves requests on a listener; the handler returns whether the connection stays open.
 pub fn serve(
     listener: TcpListener,
     handler: impl Fn(Message, &mut Connection) -> bool + Send + Sync + 'static,
-) {
-    let handler = Arc::new(handler);
+) -> Listening {
+    let listening = Listening::default();
+    let (handler, is_stopped) = (Arc::new(handler), Arc::clone(&listening.0));
+    let _ = listener.set_nonblocking(true);
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !is_stopped.load(Ordering::SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
             let handler = Arc::clone(&handler);
             thread::spawn(move || {
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_read_timeout(Some(IDLE_TIMEOUT));
                 let mut connection = Connection::new(stream);
                 while let Ok(request) = connection.read_message() {
                     if !handler(request, &mut connection) {
@@ -169,4 +196,5 @@
             });
         }
     });
+    listening
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod pause;
 mod plain;
 mod record;
+mod regroup;
 mod slow;
 mod store;
 
@@ -72,6 +73,7 @@
         "crowd" => crowd::play(&scene),
         "gone" => gone::play(&scene),
         "pause" => pause::play(&scene),
+        "regroup" => regroup::play(&scene),
         "slow" => slow::play(&scene),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     });
