--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -164,12 +164,10 @@
     let is_late = |arrival: &&Arrival| {
         tries.iter().any(|t| t.id == arrival.id && arrival.at > t.at + t.took + GONE)
     };
-    let late: Vec<&Arrival> = arrivals.iter().filter(is_late).collect();
+    let late = arrivals.iter().filter(is_late).count();
     record.tell(&format!(
-        "GONE: {} bookings reached a worker more than {GONE:?} after their client had given up and \
-         closed its connection, and {} of them ran",
-        late.len(),
-        late.iter().filter(|arrival| arrival.has_run).count()
+        "GONE: {late} bookings reached a worker, which ran them, more than {GONE:?} after their client \
+         had given up and closed its connection"
     ));
     judge(scene, &tries, &readiness.lock().expect("the polls"))
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,10 +9,10 @@
 mod http;
 mod json;
 mod node;
-mod pause;
 mod plain;
 mod record;
 mod regroup;
+mod removal;
 mod slow;
 mod store;
 
@@ -72,8 +72,8 @@
     let playing = thread::spawn(move || match case.as_str() {
         "crowd" => crowd::play(&scene),
         "gone" => gone::play(&scene),
-        "pause" => pause::play(&scene),
         "regroup" => regroup::play(&scene),
+        "removal" => removal::play(&scene),
         "slow" => slow::play(&scene),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     });
--- a/review/standin-2/plain.rs
+++ b/review/standin-2/plain.rs
@@ -14,7 +14,6 @@
 pub struct Arrival {
     pub id: String,
     pub at: Instant,
-    pub has_run: bool,
 }
 
 struct State {
@@ -23,9 +22,8 @@
     running: Mutex<usize>,
     released: Condvar,
     work: Duration,
+    /// Body of the answers to requests for `big`.
     body: Mutex<Vec<u8>>,
-    /// Requests are turned away while this is set, with this time in `Retry-After`.
-    turns_away: Mutex<Option<Duration>>,
     arrivals: Mutex<Vec<Arrival>>,
     record: Record,
 }
@@ -48,7 +46,6 @@
             released: Condvar::new(),
             work,
             body: Mutex::new(b"booked".to_vec()),
-            turns_away: Mutex::new(None),
             arrivals: Mutex::new(Vec::new()),
             record: record.clone(),
         });
@@ -72,10 +69,6 @@
         *self.state.body.lock().expect("the body") = body;
     }
 
-    pub fn turn_away(&self, pause: Option<Duration>) {
-        *self.state.turns_away.lock().expect("the pause") = pause;
-    }
-
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state.arrivals.lock().expect("the arrivals").clone()
     }
@@ -92,12 +85,9 @@
             return connection.respond("200 OK", &fields, b"").is_ok();
         }
         let echo = format!("X-Attempt-Id: {id}\r\n");
-        if let Some(pause) = *self.turns_away.lock().expect("the pause") {
-            self.note(&id, false);
-            let fields = format!("{echo}X-Not-Executed: 1\r\nRetry-After: {}\r\n", pause.as_secs());
-            return connection.respond("503 Service Unavailable", &fields, b"").is_ok();
-        }
-        let arrived_at = self.record.now();
+        self.record.line(&format!("worker {}: {id} arrives", self.id));
+        let arrival = Arrival { id: id.clone(), at: Instant::now() };
+        self.arrivals.lock().expect("the arrivals").push(arrival);
         {
             // A request beyond the slots waits.
             let mut running = self.running.lock().expect("the slots");
@@ -106,21 +96,15 @@
             }
             *running += 1;
         }
-        self.note(&id, true);
         std::thread::sleep(self.work);
         *self.running.lock().expect("the slots") -= 1;
         self.released.notify_one();
-        let took = self.record.now() - arrived_at;
-        self.record.line(&format!("worker {}: has run {id}, {took:?} after it came", self.id));
+        self.record.line(&format!("worker {}: has run {id}", self.id));
         let fields = format!("{echo}X-Response-Signature: 3e1b.{}.{id}\r\n", self.id);
-        let body = self.body.lock().expect("the body").clone();
-        connection.respond("200 OK", &fields, &body).is_ok()
-    }
-
-    fn note(&self, id: &str, has_run: bool) {
-        let what = if has_run { "runs" } else { "turns away" };
-        self.record.line(&format!("worker {}: {what} {id}", self.id));
-        let arrival = Arrival { id: id.to_owned(), at: Instant::now(), has_run };
-        self.arrivals.lock().expect("the arrivals").push(arrival);
+        if request.word(1).ends_with("/big") {
+            let body = self.body.lock().expect("the body").clone();
+            return connection.respond("200 OK", &fields, &body).is_ok();
+        }
+        connection.respond("200 OK", &fields, b"booked").is_ok()
     }
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -15,6 +15,9 @@
 
 const PAGE: usize = 500;
 
+/// Stands for the status of a watch that is cut off without an answer.
+const CUT_OFF: u16 = 0;
+
 struct Entry {
     revision: u64,
     spec: String,
@@ -67,6 +70,8 @@
 struct Inner {
     state: Mutex<State>,
     changed: Condvar,
+    /// Time after which a watch that waits is cut off.
+    cut_after: Mutex<Option<Duration>>,
 }
 
 #[derive(Clone)]
@@ -90,6 +95,11 @@
         self.inner.changed.notify_all();
     }
 
+    /// Cuts off each watch that has waited for this long.
+    pub fn cut_watches_after(&self, time: Option<Duration>) {
+        *self.inner.cut_after.lock().expect("the time") = time;
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         self.inner.state.lock().expect("the state").remove(kind, name);
         self.inner.changed.notify_all();
@@ -99,6 +109,9 @@
 impl Inner {
     fn handle(&self, request: &Message, connection: &mut Connection) -> bool {
         let (status, body) = self.answer(request);
+        if status == CUT_OFF {
+            return false;
+        }
         let reason = if status == 200 { "OK" } else { "Other" };
         let fields = "Content-Type: application/json\r\n";
         connection.respond(&format!("{status} {reason}"), fields, body.as_bytes()).is_ok()
@@ -177,6 +190,8 @@
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, String) {
         let end = Instant::now() + wait;
+        let cut_after = *self.cut_after.lock().expect("the time");
+        let cut_at = cut_after.map(|time| Instant::now() + time).filter(|at| *at < end);
         let mut state = self.state.lock().expect("the state");
         loop {
             if after > state.revision {
@@ -188,7 +203,10 @@
                 .filter(|(at, k, _)| *at > after && k == kind)
                 .map(|(_, _, event)| event.as_str())
                 .collect();
-            let left = end.saturating_duration_since(Instant::now());
+            let left = cut_at.unwrap_or(end).saturating_duration_since(Instant::now());
+            if events.is_empty() && left.is_zero() && cut_at.is_some() {
+                return (CUT_OFF, String::new());
+            }
             if !events.is_empty() || left.is_zero() {
                 let events = events.join(",");
                 return (200, format!("{{\"events\":[{events}],\"at\":{}}}", state.revision));
