--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -101,7 +101,7 @@
         scene.store.put("servers", &format!("i-book{i}"), worker.entry("reservas"));
     }
     let limits = Limits { max_fds: MAX_FDS, ..Limits::default() };
-    let mut node = scene.spawn_node("edge-norte-a-1", ip, &limits);
+    let node = scene.spawn_node("edge-norte-a-1", ip, &limits);
     if !node.wait_until_ready(Duration::from_secs(15)) {
         return Verdict::CouldNotRun("the node is not ready".to_owned());
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -101,6 +101,7 @@
             2
         }
     };
+    node::end_all();
     if env::var_os("KEEP").is_none() {
         let _ = fs::remove_dir_all(&directory);
     }
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -8,6 +8,7 @@
         net::TcpListener,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
+        sync::{Arc, Mutex},
         thread,
         time::{Duration, Instant},
     },
@@ -15,11 +16,27 @@
 
 const PROGRAM: &str = "target/release/turmerictackd";
 
+/// Processes that were started, to be ended with the run.
+static STARTED: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+
 /// A running node; dropping it ends its process.
 pub struct Node {
     pub ip: String,
     pub front: String,
-    child: Child,
+    child: Arc<Mutex<Child>>,
+}
+
+/// Ends all nodes that are still running.
+pub fn end_all() {
+    for child in STARTED.lock().expect("the processes").iter() {
+        end(child);
+    }
+}
+
+fn end(child: &Mutex<Child>) {
+    let mut child = child.lock().expect("the process");
+    let _ = child.kill();
+    let _ = child.wait();
 }
 
 /// Loopback addresses on which nothing listens on the ports of a node.
@@ -131,15 +148,17 @@
         }
         command.stdin(Stdio::null()).stderr(log.try_clone().expect("the log")).stdout(log);
         let child = command.spawn().expect("the node's program, built as the deploy file says");
+        let child = Arc::new(Mutex::new(child));
+        STARTED.lock().expect("the processes").push(Arc::clone(&child));
         Self { ip: ip.to_owned(), front: format!("{ip}:8227"), child }
     }
 
     pub fn pid(&self) -> u32 {
-        self.child.id()
+        self.child.lock().expect("the process").id()
     }
 
-    pub fn is_alive(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+    pub fn is_alive(&self) -> bool {
+        matches!(self.child.lock().expect("the process").try_wait(), Ok(None))
     }
 
     /// Status of the readiness endpoint; 0 without an answer within a second.
@@ -171,7 +190,6 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        end(&self.child);
     }
 }
--- a/review/standin-2/slow.rs
+++ b/review/standin-2/slow.rs
@@ -68,7 +68,7 @@
     let workers: Vec<PlainWorker> = (0..3).map(open_worker).collect();
     scene.store.put("config", "main", CONFIG.replace('\n', ""));
     let limits = Limits { memory_mb: MEMORY_MB, ..Limits::default() };
-    let mut node = scene.spawn_node("edge-norte-a-1", ip, &limits);
+    let node = scene.spawn_node("edge-norte-a-1", ip, &limits);
     if !node.wait_until_ready(Duration::from_secs(15)) {
         return Verdict::CouldNotRun("the node is not ready".to_owned());
     }
