--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,12 +8,12 @@
 mod gone;
 mod http;
 mod json;
+mod memory;
 mod node;
 mod plain;
 mod record;
 mod regroup;
 mod removal;
-mod slow;
 mod store;
 
 use {
@@ -74,7 +74,7 @@
         "gone" => gone::play(&scene),
         "regroup" => regroup::play(&scene),
         "removal" => removal::play(&scene),
-        "slow" => slow::play(&scene),
+        "memory" => memory::play(&scene),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     });
     let mut waited = Duration::ZERO;
--- a/review/standin-2/slow.rs
+++ b/review/standin-2/memory.rs
@@ -1,4 +1,5 @@
-//! Clients that read large answers slowly.
+//! A crowd of clients with long heads and bodies that stop short of their end, beside ordinary clients on
+//! kept connections.
 
 use {
     crate::{
@@ -21,16 +22,19 @@
     },
 };
 
-/// `memoryMb` of the node.
-const MEMORY_MB: u64 = 260;
+/// `memoryMb` and `maxFds` of the node.
+const MEMORY_MB: u64 = 48;
+const MAX_FDS: u64 = 1_400;
 
-/// Size of an answer, and number of clients that read theirs slowly.
-const ANSWER_BYTES: usize = 4 * 1024 * 1024;
-const CLIENTS: usize = 80;
+/// Clients of the crowd, each with one connection.
+const CROWD: usize = 820;
 
-/// Bytes that a slow client reads at a time, and the pause between.
-const PIECE_BYTES: usize = 4 * 1024;
-const PAUSE: Duration = Duration::from_millis(100);
+/// Header fields of each of them, and the size of a value; the head stays under `maxHeaderBytes`, 16,384.
+const FIELDS: usize = 80;
+const VALUE_BYTES: usize = 150;
+
+/// Bytes of a body that are sent before it stops.
+const BODY_BYTES: usize = 15_000;
 
 /// Time for which a worker runs a request.
 const WORK: Duration = Duration::from_millis(300);
@@ -67,7 +71,7 @@
     };
     let workers: Vec<PlainWorker> = (0..3).map(open_worker).collect();
     scene.store.put("config", "main", CONFIG.replace('\n', ""));
-    let limits = Limits { memory_mb: MEMORY_MB, ..Limits::default() };
+    let limits = Limits { memory_mb: MEMORY_MB, max_fds: MAX_FDS };
     let node = scene.spawn_node("edge-norte-a-1", ip, &limits);
     if !node.wait_until_ready(Duration::from_secs(15)) {
         return Verdict::CouldNotRun("the node is not ready".to_owned());
@@ -75,9 +79,6 @@
     if ask(record, &node.front, "GET", "/puxa403/a", "calm", DEADLINE, DEADLINE) != Some(200) {
         return Verdict::CouldNotRun("a request in calm is not served".to_owned());
     }
-    for worker in &workers {
-        worker.set_body(vec![b'x'; ANSWER_BYTES]);
-    }
     let (unanswered, is_over) =
         (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicBool::new(false)));
     let mut ordinary = Vec::new();
@@ -91,34 +92,13 @@
         }));
     }
     thread::sleep(Duration::from_secs(1));
-    record.tell(&format!("{CLIENTS} clients ask for {ANSWER_BYTES} bytes each"));
     let began = Instant::now();
-    let is_slow = scene.has_trouble;
-    for client in 0..CLIENTS {
-        let (record, address) = (record.clone(), node.front.clone());
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(10) * client as u32);
-            let id = format!("look-{client}");
-            if !is_slow {
-                ask(&record, &address, "GET", "/puxa403/big", &id, DEADLINE, DEADLINE);
-                return;
-            }
-            let Ok(mut connection) = Connection::connect(&address, Duration::from_secs(1)) else {
-                return;
-            };
-            let head = head("GET", "/puxa403/big", &id, 8_000);
-            let _ = connection.write(format!("{head}\r\n").as_bytes());
-            let mut buf = vec![0; PIECE_BYTES];
-            let mut total = 0;
-            while let Ok(read) = connection.stream.read(&mut buf) {
-                if read == 0 {
-                    break;
-                }
-                total += read;
-                thread::sleep(PAUSE);
-            }
-            record.line(&format!("client: {id} is cut off after {total} bytes"));
-        });
+    if scene.has_trouble {
+        record.tell(&format!("{CROWD} clients send heads and bodies that stop short of their end"));
+        for at in 0..CROWD {
+            let (record, address) = (record.clone(), node.front.clone());
+            thread::spawn(move || hold_unfinished_body(&record, &address, at));
+        }
     }
     let mut peak = 0;
     while began.elapsed() < TIME && peak <= MEMORY_MB && node.is_alive() {
@@ -145,6 +125,26 @@
     if lost > ALLOWED { Verdict::Broken } else { Verdict::Held }
 }
 
+/// Sends a head and a chunk of a body without the end mark, and keeps the connection open until the node
+/// ends it.
+fn hold_unfinished_body(record: &Record, address: &str, at: usize) {
+    let Ok(mut connection) = Connection::connect(address, Duration::from_secs(20)) else { return };
+    let head = head("POST", "/puxa403/crowd", &format!("crowd-{at}"), 8_000);
+    let value = "v".repeat(VALUE_BYTES);
+    let fields: String = (0..FIELDS).map(|i| format!("X-Field-{i}: {value}\r\n")).collect();
+    let chunk = "x".repeat(BODY_BYTES);
+    let body = format!("Transfer-Encoding: chunked\r\n\r\n{BODY_BYTES:x}\r\n{chunk}\r\n");
+    if connection.write(format!("{head}{fields}{body}").as_bytes()).is_err() {
+        return;
+    }
+    let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(60)));
+    let mut answer = [0; 64];
+    let read = connection.stream.read(&mut answer).unwrap_or(0);
+    let answer = String::from_utf8_lossy(&answer[..read]).into_owned();
+    let first_line = answer.lines().next().unwrap_or("closed").to_owned();
+    record.line(&format!("crowd: {at} gets {first_line}"));
+}
+
 /// Asks again and again on one connection; returns the id of a request after the first that got no
 /// answer.
 fn ask_on_kept_connection(
--- a/review/standin-2/plain.rs
+++ b/review/standin-2/plain.rs
@@ -22,8 +22,6 @@
     running: Mutex<usize>,
     released: Condvar,
     work: Duration,
-    /// Body of the answers to requests for `big`.
-    body: Mutex<Vec<u8>>,
     arrivals: Mutex<Vec<Arrival>>,
     record: Record,
 }
@@ -45,7 +43,6 @@
             running: Mutex::new(0),
             released: Condvar::new(),
             work,
-            body: Mutex::new(b"booked".to_vec()),
             arrivals: Mutex::new(Vec::new()),
             record: record.clone(),
         });
@@ -65,10 +62,6 @@
         )
     }
 
-    pub fn set_body(&self, body: Vec<u8>) {
-        *self.state.body.lock().expect("the body") = body;
-    }
-
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state.arrivals.lock().expect("the arrivals").clone()
     }
@@ -101,10 +94,6 @@
         self.released.notify_one();
         self.record.line(&format!("worker {}: has run {id}", self.id));
         let fields = format!("{echo}X-Response-Signature: 3e1b.{}.{id}\r\n", self.id);
-        if request.word(1).ends_with("/big") {
-            let body = self.body.lock().expect("the body").clone();
-            return connection.respond("200 OK", &fields, &body).is_ok();
-        }
         connection.respond("200 OK", &fields, b"booked").is_ok()
     }
 }
