Do not take a watch that was cut off for an outage of the store

Cause: any failed read counted as an outage, after which missing entries stay in use for 2.2 s, since live workers may write them again. Ruled out: the pause after a change, and requests under way.

Change: serving::relay::outage decides what an outage is. A lost connection is none; the next request, sent at once, tells. A failure counts once the store was silent for two heartbeat intervals, before which no entry of a live worker can have expired, and a rate limit counts as an answer. All kinds of objects, and nodes that follow others, get their outages from there. heartbeatMs of the settings is read. store_connection_lost and may_lack_entries in the log tell the cases apart.

--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -1,11 +1,13 @@
 //! Relay of the platform's facts: a few nodes watch the store, and the others learn from them.
 //!
 //! [`facts`] holds what a node knows of the objects of one kind, and what it can pass on;
-//! [`source`] decides whom a node asks. Both are free of transport and clocks. [`board`] answers the
+//! [`source`] decides whom a node asks, and [`outage`] what counts as an outage of the store. They are
+//! free of transport and clocks. [`board`] answers the
 //! requests of other nodes.
 
 pub mod board;
 pub mod facts;
+pub mod outage;
 pub mod source;
 
 use {
