Do not send requests whose clients have left

Cause: a request that may be executed once runs as a task of its own, so that a disconnect does not abort an execution, and the task did not know of the disconnect. Ruled out: the front end, which drops the request at once, also between events that are a second apart; requests that may be repeated.

Change: streams that may be executed once end with their clients, like others. The task of another request that may be executed once knows whether its client is still there (ClientPresence): it leaves the queue, is not sent once it has a place or a connection, nor sent a second time. What was sent goes on as before. event=request_abandoned and requests.abandoned tell.

--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -28,6 +28,8 @@
     GroupBroken(#[error(not(source))] Option<InstanceId>),
     /// the address belongs to another instance, or the instance does not head a group
     WrongInstance,
+    /// the client left before any byte of the request was sent
+    Abandoned,
     /// the connection was lost before the response was complete
     ConnectionLost,
     /// the response could not be parsed or belongs to another request
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod allowance;
 pub mod attempts;
 pub mod client_memory;
+pub mod client_presence;
 pub mod cold_periods;
 pub mod config;
 pub mod config_state;
--- a/crates/serving/src/proxy/context.rs
+++ b/crates/serving/src/proxy/context.rs
@@ -3,6 +3,7 @@
 use {
     super::crashes::request_part,
     crate::{
+        client_presence::ClientPresence,
         config::{Account, Route},
         directory::PoolKey,
         in_flight::InFlightEntry,
@@ -38,6 +39,7 @@
     pub(crate) pool: PoolKey,
     pub(crate) deadline: Instant,
     pub(crate) in_flight: Arc<InFlightEntry>,
+    pub(crate) client: ClientPresence,
 }
 
 impl RequestContext {
@@ -81,6 +83,7 @@
             resume_after,
             reuse_connection: self.route.is_retryable(),
             is_streaming: self.route.is_streaming,
+            client: self.client.clone(),
             raw: Arc::clone(&self.request.raw),
         }
     }
@@ -93,6 +96,8 @@
             pool: self.pool.clone(),
             deadline: self.deadline,
             in_flight: Arc::clone(&self.in_flight),
+            // A client that leaves drops the stream.
+            client: ClientPresence::assumed(),
         }
     }
 }
--- a/crates/serving/src/proxy/mod.rs
+++ b/crates/serving/src/proxy/mod.rs
@@ -13,6 +13,7 @@
     self::send::SendResult,
     crate::{
         attempts::{Attempts, NextStep},
+        client_presence::ClientPresence,
         config::{Access, Account, Config, Route},
         config_state::KeyFreshness,
         directory::PoolKey,
@@ -61,7 +62,8 @@
 impl Proxy {
     /// Serves a request; the reply is an upstream response or a rejection.
     pub async fn serve(self: &Arc<Self>, request: Request) -> Reply {
-        let context = match self.prepare(request) {
+        let (waiting_client, client) = ClientPresence::open();
+        let context = match self.prepare(request, client) {
             Ok(context) => context,
             Err(rejected) => {
                 let (request, rejection) = *rejected;
@@ -70,16 +72,17 @@
             }
         };
         self.tables.retry_budget.lock().record_request(self.clock.now(), &context.pool.0);
-        if context.route.is_retryable() {
+        // A client that disconnects drops this future, and so cancels the request. Nobody else can
+        // use a stream, so that holds for those that may be executed once, too.
+        if context.route.is_retryable() || context.route.is_streaming {
             return self.execute(context).await;
         }
         // Runs as a task of its own, so that a client disconnect does not abort a non-idempotent
-        // request.
+        // request that was sent; it is not sent any more once the client has left.
         let proxy = Arc::clone(self);
-        match tokio::spawn(async move { proxy.execute(context).await }).await {
-            Ok(reply) => reply,
-            Err(_) => Reply::Rejected(Rejection::unknown(Reason::UpstreamLost)),
-        }
+        let reply = tokio::spawn(async move { proxy.execute(context).await }).await;
+        drop(waiting_client);
+        reply.unwrap_or_else(|_| Reply::Rejected(Rejection::unknown(Reason::UpstreamLost)))
     }
 
     /// Enters a request in the table of requests in flight.
@@ -95,7 +98,11 @@
         Arc::new(InFlightEntry::insert(&self.tables, entry))
     }
 
-    fn prepare(&self, request: Request) -> Result<RequestContext, Box<(Request, Rejection)>> {
+    fn prepare(
+        &self,
+        request: Request,
+        client: ClientPresence,
+    ) -> Result<RequestContext, Box<(Request, Rejection)>> {
         let is_unread = self.tables.directory.lock().evacuations().is_unread();
         let Some(config) = self.tables.config().filter(|_| !is_unread) else {
             let rejection =
@@ -108,7 +115,7 @@
                     request.client_timeout.unwrap_or(route.timeout).min(route.timeout);
                 let deadline = request.received_at + client_timeout;
                 let in_flight = self.register(&request, &route);
-                Ok(RequestContext { request, route, account, pool, deadline, in_flight })
+                Ok(RequestContext { request, route, account, pool, deadline, in_flight, client })
             }
             Err(rejection) => Err(Box::new((request, rejection))),
         }
@@ -183,7 +190,12 @@
         let mut attempts = Attempts::new(context.route.is_retryable(), context.route.max_attempts);
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         loop {
-            let permit = match self.acquire_permit(&context, &attempts).await {
+            let acquired = tokio::select! {
+                biased;
+                () = context.client.left() => return self.abandon(&context, &attempts),
+                acquired = self.acquire_permit(&context, &attempts) => acquired,
+            };
+            let permit = match acquired {
                 Ok(permit) => permit,
                 Err(rejection) => return self.fail(&context, &attempts, failure, rejection),
             };
@@ -227,6 +239,9 @@
                 }
             };
             match next_step {
+                NextStep::RetryPrepaid | NextStep::Retry if context.client.has_left() => {
+                    return self.abandon(&context, &attempts);
+                }
                 NextStep::RetryPrepaid => {}
                 NextStep::Retry if self.try_acquire_retry(&context) => {}
                 NextStep::Retry => {
@@ -240,6 +255,12 @@
         }
     }
 
+    /// Ends a request that is not sent any more since its client has left.
+    fn abandon(&self, context: &RequestContext, attempts: &Attempts) -> Reply {
+        self.record_abandoned(context, attempts);
+        Reply::Rejected(attempts.rejection(Reason::ClientLeft))
+    }
+
     fn fail(
         &self,
         context: &RequestContext,
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -328,6 +328,6 @@
         }
         SendError::Overloaded => UpstreamOutcome::Cooldown(OVERLOAD_COOLDOWN),
         SendError::ConnectionLost => UpstreamOutcome::Failure,
-        SendError::InvalidResponse => UpstreamOutcome::Inconclusive,
+        SendError::Abandoned | SendError::InvalidResponse => UpstreamOutcome::Inconclusive,
     }
 }
--- a/crates/serving/src/proxy/telemetry.rs
+++ b/crates/serving/src/proxy/telemetry.rs
@@ -93,6 +93,17 @@
         event.info();
     }
 
+    /// Records that a request is not sent, or not sent again, since its client has left.
+    pub(super) fn record_abandoned(&self, context: &RequestContext, attempts: &Attempts) {
+        let _ = self.metrics.count("requests.abandoned", 1);
+        logs::event("request_abandoned")
+            .with("request", &context.request.id)
+            .with("route", &context.route.id)
+            .with("sends", attempts.sends())
+            .with("elapsed_ms", self.elapsed_ms(context))
+            .info();
+    }
+
     pub(super) fn record_rejection(
         &self,
         request: &Request,
--- a/crates/serving/src/rejection.rs
+++ b/crates/serving/src/rejection.rs
@@ -42,6 +42,8 @@
     Deadline,
     /// stopping
     Stopping,
+    /// client_left
+    ClientLeft,
 }
 
 /// What a rejection tells the client about execution of its request.
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests and replies, independent of their encoding.
 
 use {
-    crate::{rejection::Rejection, stream::EventStream},
+    crate::{client_presence::ClientPresence, rejection::Rejection, stream::EventStream},
     bytes::Bytes,
     http::{HeaderMap, Method, StatusCode},
     std::{
@@ -72,6 +72,8 @@
     pub reuse_connection: bool,
     /// Whether the response is an event stream.
     pub is_streaming: bool,
+    /// The client; once it has left, the request is not sent any more.
+    pub client: ClientPresence,
     /// Client request to forward.
     pub raw: Arc<RawRequest>,
 }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -45,6 +45,8 @@
 pub enum ScriptedAction {
     /// Fails the send.
     Fail(SendError),
+    /// Fails the send after a delay.
+    FailAfter(Duration, SendError),
     /// Responds with a status and a complete body.
     Respond(u16, &'static str),
     /// Streams events, starting after the requested position, up to `last`, and ends as given.
@@ -184,6 +186,10 @@
         let (mut per_chunk, mut paused, mut is_halting) = (1, None, false);
         let (status, body) = match action {
             Some(ScriptedAction::Fail(error)) => return SendReport { result: Err(error), notice },
+            Some(ScriptedAction::FailAfter(delay, error)) => {
+                tokio::time::sleep(delay).await;
+                return SendReport { result: Err(error), notice };
+            }
             Some(ScriptedAction::Hang) | None => return std::future::pending().await,
             Some(ScriptedAction::Respond(status, text)) => {
                 (status, (0, 0, StreamEnd::ConnectionLost, Some(text)))
