Cancel calls of the other core whose callers left before they were sent

What callers saw: nothing; a booking whose caller had disconnected while its connection was being opened was still sent to the service (GONE).

While a call was being sent, only calls that may be repeated looked at their callers, although the decision (Dispatch) ends any call whose body is not released yet.

Change: the task of a call tells the decision that the caller has gone in any case, and goes on sending if the body was released.

--- a/crates/node/src/proxy.rs
+++ b/crates/node/src/proxy.rs
@@ -274,15 +274,26 @@
             }
         };
         let send_timeout = if idempotent { stall_timeout } else { stall_timeout * 2 };
-        tokio::select! {
-            sent = timeout(send_timeout, sending) => {
-                let event = send_result_event(sent, attempt_id, open, response);
-                self.handle_attempt_event(attempt_id, event).await
-            }
-            action = accepted.actions.recv() => action,
-            () = self.outputs.closed(), if idempotent && !self.caller_gone => {
-                self.caller_gone = true;
-                Some(self.handle_event(Event::CallerGone).await)
+        let sending = timeout(send_timeout, sending);
+        tokio::pin!(sending);
+        let mut goes_on_alone = false;
+        loop {
+            tokio::select! {
+                sent = &mut sending => {
+                    let event = send_result_event(sent, attempt_id, open, response);
+                    return self.handle_attempt_event(attempt_id, event).await;
+                }
+                action = accepted.actions.recv() => return action,
+                () = self.outputs.closed(), if !self.caller_gone && !goes_on_alone => {
+                    match self.handle_event(Event::CallerGone).await {
+                        // The body was released, so the upstream may have begun to run the call.
+                        Action::Nothing => goes_on_alone = true,
+                        action => {
+                            self.caller_gone = true;
+                            return Some(action);
+                        }
+                    }
+                }
             }
         }
     }
