Move the orders of the planner into a file of their own

Orders that were sent, their results and when they are sent again are one concern, and stand together now.

--- a/crates/groups/src/formation/mod.rs
+++ b/crates/groups/src/formation/mod.rs
@@ -7,6 +7,7 @@
 
 mod departures;
 mod loads;
+mod orders;
 mod restoration;
 mod retirement;
 mod selection;
@@ -17,6 +18,7 @@
 use {
     self::{
         loads::LoadTracker,
+        orders::SentOrder,
         retirement::Retirement,
         selection::{Arrival, DomainSize, KnownPartition, ServiceDomain},
     },
@@ -30,15 +32,6 @@
     },
 };
 
-/// Time after which an order without a response is sent again.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Time after which an accepted order without a visible effect is sent again.
-const EFFECT_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// Maximum delay until the platform's list shows the effect of an order.
-const LISTING_DELAY: Duration = Duration::from_millis(600);
-
 /// Requirements of a model of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ModelProfile {
@@ -212,13 +205,6 @@
     pub orders: Vec<(InstanceId, Address, Order)>,
 }
 
-/// Time and result of the last transmission of an order.
-#[derive(Clone, Copy, Debug)]
-struct SentOrder {
-    sent_at: Instant,
-    result: Option<OrderResult>,
-}
-
 /// Times that engine instances keep to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineTimes {
@@ -289,7 +275,7 @@
         result: OrderResult,
     ) {
         if let Some(sent) = self.sent_orders.get_mut(&(id.clone(), order.clone())) {
-            sent.result = Some(result);
+            sent.record_result(result);
         }
         if let Order::Leave { group, .. } = order
             && let Some(retirement) = self.retirements.get_mut(group)
@@ -363,7 +349,7 @@
             let serving = view.engines.iter().filter(|(id, engine)| serves(id, engine));
             self.last_serving.extend(serving.map(|(id, _)| (id.clone(), confirmed_at)));
         }
-        self.sent_orders.retain(|_, s| now < s.sent_at + EFFECT_TIMEOUT * 2);
+        self.sent_orders.retain(|_, sent| !sent.is_expired(now));
         self.retirements.retain(|group_id, _| plan.groups.contains_key(group_id));
         self.complete_groups.retain(|group_id| plan.groups.contains_key(group_id));
         if self.addresses.len() > view.engines.len() * 4 {
@@ -461,55 +447,6 @@
         self.send_order(now, id, engine, order, actions);
         false
     }
-
-    /// Whether an order to an instance is known to be in effect, or not to apply to its state.
-    ///
-    /// The response counts only while the listed state may predate it, since a delayed order may
-    /// undo its effect.
-    fn has_acknowledged(&self, now: Instant, id: &InstanceId, order: &Order) -> bool {
-        let sent = self.sent_orders.get(&(id.clone(), order.clone()));
-        sent.filter(|s| now < s.sent_at + LISTING_DELAY)
-            .and_then(|s| s.result)
-            .is_some_and(|result| !matches!(result, OrderResult::Unanswered | OrderResult::Refused))
-    }
-
-    /// Sends an order unless it was sent recently.
-    fn send_order(
-        &mut self,
-        now: Instant,
-        id: &InstanceId,
-        engine: &EngineInstance,
-        order: Order,
-        actions: &mut Actions,
-    ) {
-        self.send_order_to(now, id, &engine.address, order, false, actions);
-    }
-
-    /// Sends an order to an address unless it was sent recently; orders to unreachable instances
-    /// are repeated less often.
-    fn send_order_to(
-        &mut self,
-        now: Instant,
-        id: &InstanceId,
-        address: &Address,
-        order: Order,
-        is_unreachable: bool,
-        actions: &mut Actions,
-    ) {
-        let key = (id.clone(), order);
-        if let Some(sent) = self.sent_orders.get(&key) {
-            let wait = match sent.result {
-                Some(OrderResult::Accepted | OrderResult::Refused) => EFFECT_TIMEOUT,
-                _ if is_unreachable => EFFECT_TIMEOUT,
-                _ => RESPONSE_TIMEOUT,
-            };
-            if now < sent.sent_at + wait {
-                return;
-            }
-        }
-        self.sent_orders.insert(key.clone(), SentOrder { sent_at: now, result: None });
-        actions.orders.push((key.0, address.clone(), key.1));
-    }
 }
 
 /// Phase of an instance in a group; `None` if it belongs to another group or to none.
--- a/crates/groups/src/formation/retirement.rs
+++ b/crates/groups/src/formation/retirement.rs
@@ -159,15 +159,6 @@
         }
     }
 
-    /// Whether an earlier order to an instance may still be carried out.
-    fn has_pending_orders(&self, id: &InstanceId) -> bool {
-        self.sent_orders.iter().any(|((to, order), sent)| {
-            to == id
-                && !matches!(order, Order::Stage { .. })
-                && matches!(sent.result, None | Some(OrderResult::Unanswered))
-        })
-    }
-
     /// Advances the retirement of a group: drains it for up to [`CLOSE_TIMEOUT`] if all members are
     /// present, then orders its members to leave.
     pub(super) fn advance_retirement(
