Show what crowds of clients hold beyond unfinished bodies

The tests of hostile clients pass, yet a node exceeds its memory where they do not look. The new ones play each shape on the listeners that a client reaches: heads, bytes behind a request, complete bodies that wait or are sent again, responses and streams that are not read, more clients than places, and the listeners for readiness and metrics. Memory is what DEPLOY.md counts, the process's own and what the system has received for it.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod booking_service;
 pub mod client;
+pub mod crowd;
 pub mod demo;
 pub mod effect_log;
 pub mod engine;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -7,7 +7,7 @@
         unistd::Pid,
     },
     serde::Serialize,
-    std::{fs, process::Child, time::Duration},
+    std::{collections::BTreeSet, fs, path::PathBuf, process::Child, time::Duration},
     turmerictack_model::ids::Address,
 };
 
@@ -40,6 +40,73 @@
     }
 }
 
+/// Memory that the platform charges to a process, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeldMemory {
+    /// Anonymous memory.
+    pub anonymous: u64,
+    /// Bytes that have been received on its sockets and not yet read, also on connections that it
+    /// has not accepted yet.
+    pub unread: u64,
+}
+
+impl HeldMemory {
+    /// Sum of both.
+    pub fn total(&self) -> u64 {
+        self.anonymous + self.unread
+    }
+}
+
+/// Memory of a process as the platform charges it; zero if it does not exist.
+pub fn held_memory(id: u32) -> HeldMemory {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let anonymous = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+    let kilobytes = anonymous.and_then(|r| r.split_whitespace().next()?.parse::<u64>().ok());
+    HeldMemory { anonymous: kilobytes.unwrap_or(0) * 1024, unread: unread_bytes(id) }
+}
+
+/// Number of descriptors that a process has open.
+pub fn open_descriptors(id: u32) -> usize {
+    fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count)
+}
+
+/// State of a listening socket in `/proc/net/tcp`.
+const LISTEN_STATE: &str = "0A";
+
+/// Receive queues of a process's sockets, and of connections to its listeners.
+fn unread_bytes(id: u32) -> u64 {
+    let inodes = socket_inodes(id);
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let rows: Vec<Vec<&str>> =
+        table.lines().skip(1).map(|l| l.split_whitespace().collect()).collect();
+    let is_own = |row: &Vec<&str>| row.get(9).is_some_and(|inode| inodes.contains(*inode));
+    let listeners: BTreeSet<&str> = rows
+        .iter()
+        .filter(|row| is_own(row) && row.get(3) == Some(&LISTEN_STATE))
+        .filter_map(|row| row.get(1).copied())
+        .collect();
+    let queue = |row: &Vec<&str>| {
+        let (_, received) = row.get(4)?.split_once(':')?;
+        u64::from_str_radix(received, 16).ok()
+    };
+    rows.iter()
+        // The queue of a listener counts connections.
+        .filter(|row| row.get(3) != Some(&LISTEN_STATE))
+        .filter(|row| is_own(row) || row.get(1).is_some_and(|local| listeners.contains(local)))
+        .filter_map(queue)
+        .sum()
+}
+
+fn socket_inodes(id: u32) -> BTreeSet<String> {
+    let Ok(entries) = fs::read_dir(format!("/proc/{id}/fd")) else { return BTreeSet::new() };
+    let links = entries.filter_map(|entry| fs::read_link(entry.ok()?.path()).ok());
+    let inode = |link: PathBuf| {
+        let text = link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?;
+        Some(text.to_owned())
+    };
+    links.filter_map(inode).collect()
+}
+
 /// A child process, killed when dropped.
 #[derive(Debug)]
 pub struct Process {
