Count all that a request of a client holds, in one account

Callers saw: a node whose process ends for lack of memory, and with it their requests. Cause: the account counted bodies and 16 KiB a connection. Ruled out: the pieces of bodies, which are copied and counted.

The account moves to the serving core, so that both front ends can use it, and counts a request in steps as it holds more: the start of a head with its connection, a long head before it is read on, the request, its body, and its response from the upstream's first byte until the client has read it. A connection that is blocked by its client is told to go when others need the memory, least progress first; a client that reads steadily is not. Receive buffers of clients have a size that follows from the memory. A complete request waits for room before it is passed on, so a refusal is still one of a request that has not run.

--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        client_gate::NoRoom,
         relay::{ChangeSet, FactKind, RelayError},
         request::{ResponseHead, UpstreamRequest},
     },
@@ -36,6 +37,14 @@
     InvalidResponse,
 }
 
+impl From<NoRoom> for SendError {
+    /// A response that is too large for what the node has left; faulty upstreams send them without
+    /// an end.
+    fn from(_: NoRoom) -> Self {
+        Self::InvalidResponse
+    }
+}
+
 impl SendError {
     /// Whether the upstream is certain not to have executed the request.
     pub fn is_not_executed(&self) -> bool {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,13 +4,15 @@
 //! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
 //! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, within the
 //! [`allowance`] of the upstream and the [`pace`] of one that has just returned, [`attempts`] decides
-//! on retries, and [`client_memory`] on what is held for clients. [`proxy::Proxy`] takes a request
-//! through them. Front
-//! ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
+//! on retries, and [`client_memory`] on what is held for clients, for which [`client_gate`] keeps the
+//! account. [`proxy::Proxy`] takes a request through them. Front ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! neither message encodings nor sockets.
 
+pub mod accounted_stream;
 pub mod allowance;
 pub mod attempts;
+pub mod body_buffer;
+pub mod client_gate;
 pub mod client_memory;
 pub mod client_presence;
 pub mod cold_periods;
--- a/crates/standin/tests/hostile_callers.rs
+++ b/crates/standin/tests/hostile_callers.rs
@@ -1,6 +1,8 @@
 //! Crowds of callers that hold as much of a node as they can: its process lives, stays within its
 //! memory and its descriptors, and serves an ordinary call while the crowd is still there.
 
+#![allow(clippy::unwrap_used, reason = "test helpers panic on failure, as tests do")]
+
 use {
     rstest::rstest,
     std::time::Duration,
