Close connections that do not get on when places run out

Cause: when all places were taken, only connections without a request were closed for a new one, and one whose body has stalled counts as busy. Small bodies never make the memory short, so nothing told them to go before their timeout of 10 s.

Now whoever does not get on has to go: first requests that have received nothing for a second, then connections that have never had a request, requests slower than 4 KiB/s, idle connections, and only then others. An eighth of the places is kept free of the first three, so that a new client need not wait for one to end. An ordinary request takes a round trip and is never among them.

--- a/crates/serving/src/client_gate.rs
+++ b/crates/serving/src/client_gate.rs
@@ -96,6 +96,7 @@
             let admission = self.state.lock().memory.admit(now, || signal);
             match admission {
                 Admission::Admitted(id) => {
+                    self.keep_places_free(now);
                     return ConnectionHold { gate: Arc::clone(self), id, evicted: closed };
                 }
                 Admission::Evict(worst) => self.evict(worst, Shortage::Connections),
@@ -105,6 +106,16 @@
         }
     }
 
+    fn keep_places_free(&self, now: Instant) {
+        loop {
+            let worst = self.state.lock().memory.keep_places_free(now);
+            match worst {
+                Some(worst) => self.evict(worst, Shortage::Connections),
+                None => return,
+            }
+        }
+    }
+
     /// Starts a body that holds nothing yet.
     pub fn open_body(self: &Arc<Self>) -> Hold {
         let (signal, evicted) = oneshot::channel();
--- a/crates/serving/src/client_memory/holding.rs
+++ b/crates/serving/src/client_memory/holding.rs
@@ -104,6 +104,19 @@
     pub fn memory_rank(&self, now: Instant) -> (u64, Reverse<usize>) {
         (self.pace(now), Reverse(self.released()))
     }
+
+    /// Order in which clients go for places.
+    pub fn place_rank(&self, now: Instant) -> PlaceRank {
+        let pace = self.pace(now);
+        let class = match self.kind {
+            HoldingKind::Head | HoldingKind::Body if pace == 0 => PlaceClass::StalledRequest,
+            HoldingKind::Head | HoldingKind::Body if pace < SLOW_PACE => PlaceClass::SlowRequest,
+            HoldingKind::Head | HoldingKind::Body => PlaceClass::Request,
+            HoldingKind::Response | HoldingKind::Backlog if pace == 0 => PlaceClass::UnreadResponse,
+            HoldingKind::Response | HoldingKind::Backlog => PlaceClass::SlowReader,
+        };
+        PlaceRank { class, pace, since: self.opened_at }
+    }
 }
 
 /// Kinds of clients, in the order in which they go for places.
--- a/crates/serving/src/client_memory/mod.rs
+++ b/crates/serving/src/client_memory/mod.rs
@@ -28,9 +28,18 @@
 /// Fraction of the budget that idle connections may take.
 const CONNECTION_FRACTION: usize = 2;
 
+/// Fraction of the places that is kept free of stalled clients.
+const SPARE_FRACTION: usize = 8;
+
 /// Sockets that are left to the store, peers and upstreams, as a fraction of all.
 const OTHER_SOCKETS_FRACTION: usize = 4;
 
+/// Sockets of the listeners for operators and of the connections to the store and to peers.
+const SYSTEM_SOCKETS: usize = 96;
+
+/// Connections to upstreams that are possible with any number of sockets.
+const MIN_UPSTREAM_CONNECTIONS: usize = 16;
+
 /// Fraction of the budget that the receive buffers of [`LISTEN_BACKLOG`] connections may fill.
 const RECEIVE_FRACTION: usize = 4;
 
@@ -65,6 +74,12 @@
         self.memory.map_or(usize::MAX, |bytes| bytes / CLIENT_FRACTION)
     }
 
+    /// Connections to upstreams that may be open, of the sockets that clients leave.
+    pub fn upstream_connections(&self) -> Option<usize> {
+        let others = self.sockets? / OTHER_SOCKETS_FRACTION;
+        Some(others.saturating_sub(SYSTEM_SOCKETS).max(MIN_UPSTREAM_CONNECTIONS))
+    }
+
     /// Size for the receive buffers of client connections, in bytes, since what the system has
     /// received for a process counts as its memory; `None` leaves it to the system.
     pub fn receive_buffer(&self) -> Option<usize> {
@@ -394,21 +409,37 @@
         }
     }
 
+    /// Tells a client that does not get on to go if few places are left, so that there is one for the
+    /// next client; to be called again until it returns `None`.
+    pub fn keep_places_free(&mut self, now: Instant) -> Option<S> {
+        let free = self.max_connections - self.connections.len();
+        if free + self.leaving() >= self.max_connections / SPARE_FRACTION {
+            return None;
+        }
+        let (rank, victim) = self.worst_client(now)?;
+        if rank.is_sound() { None } else { self.evict_victim(victim) }
+    }
+
     /// Connections that are about to be closed.
     fn leaving(&self) -> usize {
         let closing = self.connections.values().filter(|c| c.signal.is_none()).count();
-        closing
+        closing + self.holdings.values().filter(|h| h.is_evicted).count()
     }
 
     /// Client whose connection is the first to be closed for a place.
     fn worst_client(&self, now: Instant) -> Option<(holding::PlaceRank, Victim)> {
+        let holdings = self
+            .holdings
+            .iter()
+            .filter(|(_, h)| self.is_old(now, h))
+            .map(|(id, h)| (h.place_rank(now), Victim::Holding(*id)));
         let idle = self.connections.iter().filter_map(|(id, c)| {
             let since = c.idle_since.filter(|since| now >= *since + self.min_age)?;
             c.signal.is_some().then_some(())?;
             let rank = holding::PlaceRank::idle(c.has_had_request, since);
             Some((rank, Victim::Connection(*id)))
         });
-        idle.min_by_key(|(rank, _)| *rank)
+        holdings.chain(idle).min_by_key(|(rank, _)| *rank)
     }
 
     fn evict_victim(&mut self, victim: Victim) -> Option<S> {
