Count what callers hold at the other front end

Callers saw: a node whose process takes 1.3 GB and more. Cause: the listener for callers bounds connections and the size of one body, 8 MiB, not their sum; responses are read and collected without a bound, and copied once more; a body that is parsed takes many times its text; and between acceptor and HTTP server the system keeps megabytes for each connection.

The node uses the account of the serving core. A new setting, memory_mb, has 256 as its default, the memory of a node in the sizes to design for; half of it may be held for callers. Bodies, responses of services, and completions that are not streamed ask for room as they grow; a request that finds none is refused (429, not run, Retry-After). The acceptor reads a head no further than 64 KiB, and a body no faster than its handler, 64 KiB ahead at most. Fields of a completion request are no longer parsed into trees. Operators have an account of their own, in which a connection need not be old to make room for the next.

--- a/crates/node/src/front/acceptor.rs
+++ b/crates/node/src/front/acceptor.rs
@@ -13,12 +13,14 @@
         logs,
         tables::Tables,
     },
+    cadence::{NopMetricSink, StatsdClient},
+    socket2::SockRef,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
-        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        io::{AsyncReadExt as _, AsyncWriteExt as _, ReadHalf, WriteHalf, split},
         net::{
-            TcpListener, TcpStream,
-            tcp::{ReadHalf, WriteHalf},
+            TcpListener, TcpSocket, TcpStream,
+            tcp::{ReadHalf as InnerReadHalf, WriteHalf as InnerWriteHalf},
         },
         sync::watch::{self, Receiver, Sender},
         task::{JoinHandle, JoinSet},
@@ -29,11 +31,29 @@
         ids::Address,
         outcome::{Failure, FailureCode},
     },
+    turmerictack_serving::{
+        accounted_stream::{AccountedStream, RequestAccount},
+        client_gate::{ClientGate, ConnectionHold},
+        client_memory::{AccountConfig, ConnectionCosts},
+    },
 };
 
 /// Size of a read buffer.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Maximum number of bytes of a request before a handler takes it.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// What a connection takes: both buffers of the acceptor, two connections between the acceptor and
+/// the HTTP server, and what the system has received on them.
+pub const CONNECTION_COSTS: ConnectionCosts = ConnectionCosts {
+    idle: 48 * 1024,
+    request: 32 * 1024,
+    long_head: 64 * 1024,
+    response: 48 * 1024,
+    stream_backlog: 64 * 1024,
+};
+
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -61,10 +81,12 @@
     limits: Limits,
     tables: Arc<Tables>,
     clock: Arc<dyn Clock>,
+    gate: Arc<ClientGate>,
 }
 
 impl Acceptor {
-    /// Binds an address for one of the node's listeners.
+    /// Binds an address for one of the node's listeners; nothing but the number of connections is
+    /// bounded.
     ///
     /// # Errors
     /// [`io::Error`] if the address cannot be bound.
@@ -74,9 +96,36 @@
         limits: Limits,
         tables: Arc<Tables>,
         clock: Arc<dyn Clock>,
+    ) -> io::Result<Self> {
+        let account = AccountConfig {
+            costs: CONNECTION_COSTS,
+            connections: limits.connections,
+            ..AccountConfig::default()
+        };
+        let metrics = Arc::new(StatsdClient::from_sink("", NopMetricSink));
+        let gate = ClientGate::open(account, Arc::clone(&clock), metrics);
+        Self::bind_with(address, listener, limits, tables, clock, gate).await
+    }
+
+    /// The same with an account for what callers hold, which bounds the connections too.
+    ///
+    /// # Errors
+    /// As for [`Self::bind`].
+    pub async fn bind_with(
+        address: &Address,
+        listener: Listener,
+        limits: Limits,
+        tables: Arc<Tables>,
+        clock: Arc<dyn Clock>,
+        gate: Arc<ClientGate>,
     ) -> io::Result<Self> {
         let socket = TcpListener::bind(address.as_str()).await?;
-        Ok(Self { socket, cx: Arc::new(Context { listener, limits, tables, clock }) })
+        if let Some(bytes) = gate.limits().receive_buffer() {
+            // Connections inherit it, those included that are not accepted yet.
+            SockRef::from(&socket).set_recv_buffer_size(bytes)?;
+        }
+        let cx = Context { listener, limits, tables, clock, gate };
+        Ok(Self { socket, cx: Arc::new(cx) })
     }
 
     /// Local address of the acceptor.
@@ -121,40 +170,64 @@
     mut closing: Receiver<bool>,
 ) {
     let mut open = JoinSet::new();
+    // Accepted, but without a place yet.
+    let mut waiting = None;
     while !*closing.borrow_and_update() {
-        let has_capacity = open.len() < cx.limits.connections;
         tokio::select! {
-            accepted = listener.accept(), if has_capacity => match accepted {
-                Ok((stream, _)) => {
-                    open.spawn(connection(stream, target, Arc::clone(&cx)));
-                }
+            accepted = listener.accept(), if waiting.is_none() => match accepted {
+                Ok((stream, _)) => waiting = Some(stream),
                 Err(e) => {
                     logs::event("accept_failed").with("cause", e).warn();
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
+            hold = cx.gate.admit(), if waiting.is_some() => {
+                if let Some(stream) = waiting.take() {
+                    open.spawn(connection(stream, hold, target, Arc::clone(&cx)));
+                }
+            }
             Some(_) = open.join_next() => {}
             changed = closing.changed() => if changed.is_err() { return },
         }
     }
-    drop(listener);
+    drop((listener, waiting));
     while open.join_next().await.is_some() {}
 }
 
-/// Forwards one connection until either side closes it or it times out.
-async fn connection(mut caller: TcpStream, target: SocketAddr, cx: Arc<Context>) {
-    let Ok(mut inner) = TcpStream::connect(target).await else { return };
+/// Connects to the HTTP server, with a receive buffer like those of callers.
+async fn connect(target: SocketAddr, gate: &ClientGate) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(bytes) = gate.limits().receive_buffer() {
+        socket.set_recv_buffer_size(u32::try_from(bytes).unwrap_or(u32::MAX))?;
+    }
+    socket.connect(target).await
+}
+
+/// Forwards one connection until either side closes it, it times out, or it has to go.
+async fn connection(
+    caller: TcpStream,
+    mut hold: ConnectionHold,
+    target: SocketAddr,
+    cx: Arc<Context>,
+) {
+    let Ok(mut inner) = connect(target, &cx.gate).await else { return };
     let Ok(address) = inner.local_addr() else { return };
     let id = ConnectionId { listener: cx.listener, address };
     let _ = (caller.set_nodelay(true), inner.set_nodelay(true));
-    cx.tables.connections.lock().open(id, cx.clock.now());
+    let (caller, account) = AccountedStream::new(caller, hold.requests(), MAX_HEAD_BYTES);
+    {
+        let mut connections = cx.tables.connections.lock();
+        connections.open(id, cx.clock.now());
+        connections.set_account(id, account.clone());
+    }
     let expired = {
-        let (from_caller, mut to_caller) = caller.split();
+        let (from_caller, mut to_caller) = split(caller);
         let (from_inner, to_inner) = inner.split();
         let ended = tokio::select! {
             () = forward_requests(from_caller, to_inner, id, &cx) => None,
-            () = forward_responses(from_inner, &mut to_caller, id, &cx) => None,
+            () = forward_responses(from_inner, &mut to_caller, id, &account, &cx) => None,
             expired = wait_for_timeout(id, &cx) => Some(expired),
+            _ = &mut hold.evicted => None,
         };
         if ended == Some(TimeoutKind::Request) {
             let rejection = rejection();
@@ -169,8 +242,8 @@
 }
 
 async fn forward_requests(
-    mut from: ReadHalf<'_>,
-    mut to: WriteHalf<'_>,
+    mut from: ReadHalf<AccountedStream<TcpStream>>,
+    mut to: InnerWriteHalf<'_>,
     id: ConnectionId,
     cx: &Context,
 ) {
@@ -184,15 +257,17 @@
 }
 
 async fn forward_responses(
-    mut from: ReadHalf<'_>,
-    to: &mut WriteHalf<'_>,
+    mut from: InnerReadHalf<'_>,
+    to: &mut WriteHalf<AccountedStream<TcpStream>>,
     id: ConnectionId,
+    account: &RequestAccount,
     cx: &Context,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
     while let Ok(count @ 1..) = from.read(&mut buf).await {
         if !buf[..count].starts_with(INTERIM_RESPONSE) {
             cx.tables.connections.lock().record_response_bytes(id, cx.clock.now());
+            account.end_unhandled();
         }
         let mut rest = &buf[..count];
         while !rest.is_empty() {
@@ -201,6 +276,9 @@
                 _ => return,
             }
         }
+        if to.flush().await.is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/node/src/front/callers.rs
+++ b/crates/node/src/front/callers.rs
@@ -2,17 +2,18 @@
 
 use {
     crate::{
-        call::{Call, Output},
+        call::{Call, Output, Payload},
         front::{
-            completion::{self, CompletionApi, ResponseWriter},
+            completion::{self, Completion, CompletionApi, ResponseWriter},
             connections::Listener,
             response::{CallerResponse, Reply},
         },
         shared::{InFlightGuard, Shared},
     },
+    bytes::Bytes,
     rocket::{
         Data, State, async_trait,
-        data::ByteUnit,
+        data::{ByteUnit, DataStream},
         futures::StreamExt as _,
         get,
         http::Status,
@@ -22,8 +23,9 @@
         serde::json::Json,
     },
     serde_json::{Value, json},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{future::poll_fn, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     tokio::{
+        io::AsyncReadExt as _,
         sync::mpsc::{self, Receiver},
         time::timeout,
     },
@@ -34,6 +36,12 @@
         outcome::{Failure, FailureCode},
         rank::Rank,
     },
+    turmerictack_serving::{
+        accounted_stream::{RequestAccount, RequestGuard},
+        body_buffer::BodyBuffer,
+        client_gate::{ClientGate, HeldRoom, NoRoom},
+        client_memory::NO_ROOM_RETRY_AFTER,
+    },
     turmerictack_settings::services::ServiceKind,
 };
 
@@ -43,6 +51,15 @@
 /// Largest request body in bytes, regardless of the services configuration.
 pub const MAX_BODY_BYTES: u64 = 8 << 20;
 
+/// Size of the pieces in which a body is read, in bytes.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Bytes by which the request to an engine may be longer than that of the caller.
+const COMPLETION_MARGIN_BYTES: usize = 1024;
+
+/// Largest text of a response that is not streamed, in bytes.
+const MAX_COLLECTED_BYTES: usize = 8 << 20;
+
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -62,6 +79,8 @@
     pub key: Option<IdempotencyKey>,
     /// Deadline in milliseconds.
     pub deadline_ms: Option<String>,
+    /// Announced size of the body, in bytes.
+    pub content_length: Option<u64>,
 }
 
 #[async_trait]
@@ -78,6 +97,7 @@
             rank: text("turmerictack-rank"),
             key: text("idempotency-key"),
             deadline_ms: text("turmerictack-deadline-ms"),
+            content_length: text("content-length").and_then(|v| v.parse().ok()),
         })
     }
 }
@@ -139,16 +159,108 @@
     }
 }
 
-/// Reads a body with limits on its size and on the time that it takes.
-///
-/// # Errors
-/// The reason for the rejection.
-pub async fn read_body(data: Data<'_>, limit: u64) -> Result<Vec<u8>, Failure> {
-    let limit = ByteUnit::Byte(limit.min(MAX_BODY_BYTES));
-    match timeout(BODY_TIMEOUT, data.open(limit).into_bytes()).await {
-        Ok(Ok(body)) if body.is_complete() => Ok(body.into_inner()),
-        Ok(Ok(_)) => Err(Failure::not_run(FailureCode::TooLarge)),
-        Ok(Err(_)) | Err(_) => Err(Failure::not_run(FailureCode::BadRequest)),
+/// Body of a request that has not been read.
+pub struct IncomingBody<'r> {
+    /// Bytes as they arrive.
+    pub data: Data<'r>,
+    /// Announced size, in bytes.
+    pub announced: Option<u64>,
+    /// Account of its connection, if that is counted.
+    pub account: Option<RequestAccount>,
+}
+
+impl IncomingBody<'_> {
+    /// Reads the body with limits on its size, on the time that it takes, and on what is held for
+    /// all callers.
+    ///
+    /// # Errors
+    /// The reason for the rejection.
+    pub async fn read(self, limit: u64, gate: &Arc<ClientGate>) -> Result<Bytes, Failure> {
+        let limit = limit.min(MAX_BODY_BYTES);
+        if self.announced.is_some_and(|bytes| bytes > limit) {
+            return Err(Failure::not_run(FailureCode::TooLarge));
+        }
+        let hold = gate.open_body();
+        let announced = self.announced.map(|bytes| bytes as usize);
+        let buffer = BodyBuffer::new(hold.room, announced);
+        let stream = self.data.open(ByteUnit::Byte(limit + 1));
+        tokio::select! {
+            read = timeout(BODY_TIMEOUT, receive(stream, limit as usize, buffer, self.account)) => {
+                read.unwrap_or(Err(Failure::not_run(FailureCode::BadRequest)))
+            }
+            Ok(_) = hold.evicted => Err(no_room(gate)),
+        }
+    }
+}
+
+async fn receive(
+    mut stream: DataStream<'_>,
+    limit: usize,
+    mut buffer: BodyBuffer,
+    account: Option<RequestAccount>,
+) -> Result<Bytes, Failure> {
+    let no_room = |NoRoom| overloaded();
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        let mut reading = pin!(stream.read(&mut piece));
+        let read = poll_fn(|cx| {
+            let read = reading.as_mut().poll(cx);
+            if let Some(account) = account.as_ref().filter(|_| read.is_pending()) {
+                account.record_all_read();
+            }
+            read
+        });
+        let read = read.await;
+        if let (Some(account), Ok(count)) = (&account, &read) {
+            account.record_read(*count);
+        }
+        match read.map_err(|_| Failure::not_run(FailureCode::BadRequest))? {
+            0 => return buffer.finish().await.map_err(no_room),
+            count if buffer.len() + count > limit => {
+                return Err(Failure::not_run(FailureCode::TooLarge));
+            }
+            count => buffer.push(&piece[..count]).await.map_err(no_room)?,
+        }
+    }
+}
+
+/// Rejection of a request for which there is no room.
+pub fn no_room(gate: &ClientGate) -> Failure {
+    gate.record_refusal("no_room");
+    overloaded()
+}
+
+fn overloaded() -> Failure {
+    Failure::not_run(FailureCode::Overloaded).with_retry_after(NO_ROOM_RETRY_AFTER)
+}
+
+/// Counts a request whose head is complete on its connection, if that is counted.
+pub async fn begin_request(
+    shared: &Shared,
+    remote: Option<SocketAddr>,
+) -> (Option<RequestGuard>, Result<(), Failure>) {
+    let Some(account) = shared.tables.request_account(Listener::Callers, remote) else {
+        return (None, Ok(()));
+    };
+    let (guard, begun) = account.begin_relayed().await;
+    (Some(guard), begun.map_err(|NoRoom| no_room(&shared.callers)))
+}
+
+/// Takes the room of a response, and counts those that have a size of their own with it.
+pub async fn reserve_response(shared: &Shared, remote: Option<SocketAddr>) -> Result<(), Failure> {
+    let Some(account) = shared.tables.request_account(Listener::Callers, remote) else {
+        return Ok(());
+    };
+    account.reserve_response().await.map_err(|NoRoom| no_room(&shared.callers))
+}
+
+/// Records the size of a complete response, or that it is a stream.
+pub fn record_response(shared: &Shared, remote: Option<SocketAddr>, reply: &Reply) {
+    let Some(account) = shared.tables.request_account(Listener::Callers, remote) else { return };
+    match reply {
+        Reply::Complete { body, .. } => account.set_response_bytes(body.len()),
+        Reply::Events(_) => account.set_streaming(),
+        Reply::Failed(_) => {}
     }
 }
 
@@ -205,11 +317,15 @@
     api: CompletionApi,
 ) -> CallerResponse {
     let id = shared.request_id();
-    let reply = match start_completion(shared, headers, data, api, &id).await {
-        Ok(reply) => reply,
-        Err(failure) => Reply::Failed(failure),
+    let remote = headers.remote;
+    let (request, begun) = begin_request(shared, remote).await;
+    let started = match begun {
+        Ok(()) => start_completion(shared, headers, data, api, &id).await,
+        Err(failure) => Err(failure),
     };
-    CallerResponse { id, reply }
+    let reply = started.unwrap_or_else(Reply::Failed);
+    record_response(shared, remote, &reply);
+    CallerResponse { id, reply, request }
 }
 
 async fn start_completion(
@@ -219,15 +335,19 @@
     api: CompletionApi,
     id: &str,
 ) -> Result<Reply, Failure> {
+    let (remote, announced) = (headers.remote, headers.content_length);
     let checked = headers.check(shared).await?;
-    let body = read_body(data, MAX_BODY_BYTES).await?;
-    let completion =
-        completion::parse(api, &body).map_err(|_| Failure::not_run(FailureCode::BadRequest))?;
+    let account = shared.tables.request_account(Listener::Callers, remote);
+    let body = IncomingBody { data, announced, account };
+    let body = body.read(MAX_BODY_BYTES, &shared.callers).await?;
+    reserve_response(shared, remote).await?;
+    let body_bytes = body.len() as u64;
+    let completion = parse_completion(api, body, &shared.callers).await?;
     let services = shared.tables.services();
     let service = services.as_ref().and_then(|s| s.service(&completion.service));
     let service = service.filter(|s| s.kind == ServiceKind::Model);
     let service = service.ok_or(Failure::not_run(FailureCode::NotFound))?;
-    if body.len() as u64 > service.max_body_bytes {
+    if body_bytes > service.max_body_bytes {
         return Err(Failure::not_run(FailureCode::TooLarge));
     }
     let writer = ResponseWriter {
@@ -240,7 +360,27 @@
     let (tx, rx) = mpsc::channel(OUTPUT_BUFFER);
     let guard = shared.responses.begin();
     shared.proxy.serve(call, tx).await?;
-    if completion.stream { stream(rx, writer, guard).await } else { collect(rx, writer).await }
+    if completion.stream {
+        stream(rx, writer, guard).await
+    } else {
+        collect(rx, writer, shared.callers.open_response()).await
+    }
+}
+
+/// Parses a completion request, for whose copy there has to be room.
+async fn parse_completion(
+    api: CompletionApi,
+    body: Bytes,
+    gate: &Arc<ClientGate>,
+) -> Result<Completion, Failure> {
+    let copy = gate.open_response();
+    copy.grow(body.len() + COMPLETION_MARGIN_BYTES).await.map_err(|NoRoom| no_room(gate))?;
+    let mut completion =
+        completion::parse(api, &body).map_err(|_| Failure::not_run(FailureCode::BadRequest))?;
+    if let Payload::Model { body, .. } = &mut completion.payload {
+        *body = copy.complete(std::mem::take(body).into()).map_err(|NoRoom| no_room(gate))?;
+    }
+    Ok(completion)
 }
 
 /// Builds the call of an authorized caller; a default rank above the caller's highest is lowered
@@ -249,7 +389,7 @@
     checked: CheckedHeaders,
     service: String,
     default_rank: Rank,
-    payload: crate::call::Payload,
+    payload: Payload,
 ) -> Call {
     let rank = checked.rank.unwrap_or(default_rank.max(checked.highest_rank));
     Call {
@@ -317,7 +457,13 @@
     }
 }
 
-async fn collect(mut rx: Receiver<Output>, writer: ResponseWriter) -> Result<Reply, Failure> {
+/// Collects a response into one, for which there has to be room.
+async fn collect(
+    mut rx: Receiver<Output>,
+    writer: ResponseWriter,
+    room: HeldRoom,
+) -> Result<Reply, Failure> {
+    let lost = || Failure::unknown(FailureCode::UpstreamLost);
     let mut text = String::new();
     let mut chunks = 0;
     loop {
@@ -325,18 +471,22 @@
             Some(Output::Text(texts)) => {
                 chunks += texts.len() as u64;
                 text.extend(texts);
+                if text.len() > MAX_COLLECTED_BYTES {
+                    return Err(Failure::unknown(FailureCode::UpstreamFailed));
+                }
+                // The response holds the text once more.
+                room.grow(2 * text.capacity()).await.map_err(|NoRoom| lost())?;
             }
             Some(Output::End(reason)) => {
+                let response = writer.complete(&text, &reason, chunks).into_bytes();
                 return Ok(Reply::Complete {
                     status: 200,
                     content_type: Some("application/json".to_owned()),
-                    body: writer.complete(&text, &reason, chunks).into_bytes(),
+                    body: room.complete(response).map_err(|NoRoom| lost())?,
                 });
             }
             Some(Output::Failed(failure)) => return Err(failure),
-            Some(Output::Response(_)) | None => {
-                return Err(Failure::unknown(FailureCode::UpstreamLost));
-            }
+            Some(Output::Response(_)) | None => return Err(lost()),
         }
     }
 }
--- a/crates/node/src/front/completion.rs
+++ b/crates/node/src/front/completion.rs
@@ -2,16 +2,23 @@
 
 use {
     crate::{call::Payload, estimate},
-    bytes::Bytes,
     derive_more::Error,
     displaydoc::Display,
-    serde_json::{Map, Value, json},
+    serde::{
+        Deserialize, Deserializer,
+        de::{DeserializeOwned, Error as _, MapAccess, Visitor},
+    },
+    serde_json::{Value, json, value::RawValue},
+    std::{borrow::Cow, collections::BTreeMap, fmt},
     turmerictack_model::{digest::hash64, ids::ServiceId, outcome::Failure},
 };
 
 /// Length of the prompt prefix that is hashed for routing to an upstream with a warm prefix cache.
 const PREFIX_BYTES: usize = 1024;
 
+/// Maximum number of top-level fields of a request.
+const MAX_FIELDS: usize = 256;
+
 /// The completions API that a call uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CompletionApi {
@@ -53,27 +60,68 @@
     pub payload: Payload,
 }
 
+/// Top-level fields of a request, whose values are not parsed: a tree of small values takes many
+/// times the memory of their text.
+struct Fields<'a>(BTreeMap<Cow<'a, str>, &'a RawValue>);
+
+impl<'de> Deserialize<'de> for Fields<'de> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(FieldsVisitor)
+    }
+}
+
+struct FieldsVisitor;
+
+impl<'de> Visitor<'de> for FieldsVisitor {
+    type Value = Fields<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an object with at most {MAX_FIELDS} fields")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+        let mut fields = BTreeMap::new();
+        while let Some((FieldName(name), value)) = map.next_entry()? {
+            fields.insert(name, value);
+            if fields.len() > MAX_FIELDS {
+                return Err(A::Error::custom("too many fields"));
+            }
+        }
+        Ok(Fields(fields))
+    }
+}
+
+/// Name of a field, copied only if it has escapes.
+#[derive(Deserialize)]
+struct FieldName<'a>(#[serde(borrow)] Cow<'a, str>);
+
+fn parse_value<T: DeserializeOwned>(value: &RawValue) -> Option<T> {
+    serde_json::from_str(value.get()).ok()
+}
+
 /// Parses the body of a completion request.
 ///
 /// # Errors
 /// Any [`CompletionError`].
 pub fn parse(api: CompletionApi, body: &[u8]) -> Result<Completion, CompletionError> {
-    let mut request: Map<String, Value> =
+    let Fields(mut fields) =
         serde_json::from_slice(body).map_err(|_| CompletionError::NotAnObject)?;
-    let service = request.get("model").and_then(Value::as_str).map(str::to_owned);
+    let service = fields.get("model").and_then(|v| parse_value::<String>(v));
     let service = service.ok_or(CompletionError::MissingModel)?;
-    let prompt = request.get("messages").or_else(|| request.get("prompt"));
-    let prompt = prompt.ok_or(CompletionError::MissingPrompt)?.to_string();
-    let stream = request.get("stream").and_then(Value::as_bool).unwrap_or(false);
-    let max_tokens = request.get("max_tokens").and_then(Value::as_u64);
+    let prompt = fields.get("messages").or_else(|| fields.get("prompt"));
+    let prompt = prompt.ok_or(CompletionError::MissingPrompt)?.get();
+    let stream = fields.get("stream").and_then(|v| parse_value(v)).unwrap_or(false);
+    let max_tokens = fields.get("max_tokens").and_then(|v| parse_value(v));
     let max_tokens = max_tokens.unwrap_or(estimate::DEFAULT_COMPLETION_TOKENS);
-    request.insert("stream".to_owned(), Value::Bool(true));
+    let is_streamed: &RawValue =
+        serde_json::from_str("true").map_err(|_| CompletionError::NotAnObject)?;
+    fields.insert(Cow::Borrowed("stream"), is_streamed);
     let start = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
     let payload = Payload::Model {
         path: api.path().to_owned(),
         prefix_hash: hash64(&[start]),
         cost: estimate::prompt_tokens(prompt.len()) + max_tokens,
-        body: Bytes::from(Value::Object(request).to_string()),
+        body: serde_json::to_vec(&fields).map_err(|_| CompletionError::NotAnObject)?.into(),
     };
     Ok(Completion { service, stream, payload })
 }
--- a/crates/node/src/front/connections.rs
+++ b/crates/node/src/front/connections.rs
@@ -1,9 +1,12 @@
 //! Table of open connections and their timeouts.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
+use {
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    turmerictack_serving::accounted_stream::RequestAccount,
 };
 
 /// Limits of one listener's connections.
@@ -87,14 +90,34 @@
     pub address: SocketAddr,
 }
 
+/// An open connection.
+struct Connection {
+    state: RequestState,
+    /// Account of its requests; `None` if nobody counts them.
+    account: Option<RequestAccount>,
+}
+
 /// Open connections of a node's listeners.
-#[derive(Debug, Default)]
-pub struct Connections(BTreeMap<ConnectionId, RequestState>);
+#[derive(Default)]
+pub struct Connections(BTreeMap<ConnectionId, Connection>);
 
 impl Connections {
     /// Adds a new connection.
     pub fn open(&mut self, id: ConnectionId, now: Instant) {
-        self.0.insert(id, RequestState::Idle { since: now });
+        let state = RequestState::Idle { since: now };
+        self.0.insert(id, Connection { state, account: None });
+    }
+
+    /// Sets the account of a connection.
+    pub fn set_account(&mut self, id: ConnectionId, account: RequestAccount) {
+        if let Some(connection) = self.0.get_mut(&id) {
+            connection.account = Some(account);
+        }
+    }
+
+    /// Account of the requests on a connection.
+    pub fn account(&self, id: ConnectionId) -> Option<RequestAccount> {
+        self.0.get(&id)?.account.clone()
     }
 
     /// Removes a connection.
@@ -114,23 +137,25 @@
 
     /// Records that bytes arrived from the caller.
     pub fn record_request_bytes(&mut self, id: ConnectionId, now: Instant) {
-        if let Some(state @ RequestState::Idle { .. }) = self.0.get_mut(&id) {
-            *state = RequestState::Receiving { since: now };
+        if let Some(connection) = self.0.get_mut(&id)
+            && matches!(connection.state, RequestState::Idle { .. })
+        {
+            connection.state = RequestState::Receiving { since: now };
         }
     }
 
     /// Records that bytes of a response are sent to the caller.
     pub fn record_response_bytes(&mut self, id: ConnectionId, now: Instant) {
-        if let Some(state) = self.0.get_mut(&id) {
-            *state = RequestState::Idle { since: now };
+        if let Some(connection) = self.0.get_mut(&id) {
+            connection.state = RequestState::Idle { since: now };
         }
     }
 
     /// Marks the request as taken by a handler; false if the connection has been closed.
     pub fn begin_handling(&mut self, id: ConnectionId) -> bool {
         match self.0.get_mut(&id) {
-            Some(state) => {
-                *state = RequestState::Handling;
+            Some(connection) => {
+                connection.state = RequestState::Handling;
                 true
             }
             None => false,
@@ -144,10 +169,10 @@
         limits: &Limits,
         now: Instant,
     ) -> TimeoutCheck {
-        let (due, expired) = match self.0.get(&id) {
-            Some(RequestState::Idle { since }) => (*since + limits.idle, TimeoutKind::Idle),
+        let (due, expired) = match self.0.get(&id).map(|c| c.state) {
+            Some(RequestState::Idle { since }) => (since + limits.idle, TimeoutKind::Idle),
             Some(RequestState::Receiving { since }) => {
-                (*since + limits.request, TimeoutKind::Request)
+                (since + limits.request, TimeoutKind::Request)
             }
             Some(RequestState::Handling) => return TimeoutCheck::RecheckAt(now + limits.request),
             None => return TimeoutCheck::Close(TimeoutKind::Idle),
--- a/crates/node/src/front/plain.rs
+++ b/crates/node/src/front/plain.rs
@@ -4,7 +4,11 @@
     crate::{
         call::{Output, Payload},
         front::{
-            callers::{CallerHeaders, OUTPUT_BUFFER, new_call, read_body},
+            callers::{
+                CallerHeaders, IncomingBody, OUTPUT_BUFFER, begin_request, new_call,
+                record_response, reserve_response,
+            },
+            connections::Listener,
             response::{CallerResponse, Reply},
         },
         shared::Shared,
@@ -43,11 +47,15 @@
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let id = self.0.request_id();
         let _guard = self.0.responses.begin();
-        let reply = match forward(&self.0, request, data).await {
-            Ok(reply) => reply,
-            Err(failure) => Reply::Failed(failure),
+        let remote = request.remote();
+        let (guard, begun) = begin_request(&self.0, remote).await;
+        let forwarded = match begun {
+            Ok(()) => forward(&self.0, request, data).await,
+            Err(failure) => Err(failure),
         };
-        Outcome::from(request, CallerResponse { id, reply })
+        let reply = forwarded.unwrap_or_else(Reply::Failed);
+        record_response(&self.0, remote, &reply);
+        Outcome::from(request, CallerResponse { id, reply, request: guard })
     }
 }
 
@@ -61,6 +69,7 @@
         rocket::request::Outcome::Success(headers) => headers,
         _ => return Err(reject(FailureCode::BadRequest)),
     };
+    let (remote, announced) = (headers.remote, headers.content_length);
     let checked = headers.check(shared).await?;
     let full_path = request.uri().path().as_str();
     let rest = full_path.strip_prefix("/services/").unwrap_or_default();
@@ -73,11 +82,15 @@
         Some(query) => format!("{path}?{query}"),
         None => path.to_owned(),
     };
+    let account = shared.tables.request_account(Listener::Callers, remote);
+    let body = IncomingBody { data, announced, account };
+    let body = body.read(service.max_body_bytes, &shared.callers).await?;
+    reserve_response(shared, remote).await?;
     let payload = Payload::Plain {
         method: request.method().as_str().to_owned(),
         path,
         content_type: request.content_type().map(ToString::to_string),
-        body: read_body(data, service.max_body_bytes).await?.into(),
+        body,
     };
     let call = new_call(checked, service.id.clone(), service.default_rank, payload);
     let (tx, mut rx) = mpsc::channel(OUTPUT_BUFFER);
@@ -86,7 +99,7 @@
         Some(Output::Response(reply)) => Ok(Reply::Complete {
             status: reply.status,
             content_type: reply.content_type,
-            body: reply.body.to_vec(),
+            body: reply.body,
         }),
         Some(Output::Failed(failure)) => Err(failure),
         _ => Err(Failure::unknown(FailureCode::UpstreamLost)),
--- a/crates/node/src/front/response.rs
+++ b/crates/node/src/front/response.rs
@@ -2,13 +2,21 @@
 
 use {
     crate::front::completion::failure_body,
+    bytes::Bytes,
     rocket::{
         Request,
+        futures::StreamExt as _,
         http::{ContentType, Header, Status},
         response::{self, Responder, stream::ByteStream},
     },
-    std::io::Cursor,
+    std::{
+        io::{self, Cursor, SeekFrom},
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    tokio::io::{AsyncRead, AsyncSeek, ReadBuf},
     turmerictack_model::outcome::{Failure, FailureCode},
+    turmerictack_serving::accounted_stream::RequestGuard,
 };
 
 /// Header with the id of the request.
@@ -28,7 +36,7 @@
         /// Media type of the body.
         content_type: Option<String>,
         /// Body.
-        body: Vec<u8>,
+        body: Bytes,
     },
     /// A stream of server-sent events.
     Events(Events),
@@ -42,6 +50,40 @@
     pub id: String,
     /// The response.
     pub reply: Reply,
+    /// The request on its connection, which ends with the response; `None` if nobody counts it.
+    pub request: Option<RequestGuard>,
+}
+
+/// Complete body that ends its request once it has been read.
+struct GuardedBody {
+    body: Cursor<Bytes>,
+    _request: Option<RequestGuard>,
+}
+
+impl GuardedBody {
+    fn new(body: impl Into<Bytes>, request: Option<RequestGuard>) -> Self {
+        Self { body: Cursor::new(body.into()), _request: request }
+    }
+}
+
+impl AsyncRead for GuardedBody {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().body).poll_read(cx, buf)
+    }
+}
+
+impl AsyncSeek for GuardedBody {
+    fn start_seek(self: Pin<&mut Self>, position: SeekFrom) -> io::Result<()> {
+        Pin::new(&mut self.get_mut().body).start_seek(position)
+    }
+
+    fn poll_complete(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<u64>> {
+        Pin::new(&mut self.get_mut().body).poll_complete(cx)
+    }
 }
 
 /// HTTP status of a failure.
@@ -66,14 +108,18 @@
 }
 
 /// Response of a failure that occurred before any output.
-fn failed(failure: &Failure, id: &str) -> response::Response<'static> {
+fn failed(
+    failure: &Failure,
+    id: &str,
+    request: Option<RequestGuard>,
+) -> response::Response<'static> {
     let body = failure_body(failure, Some(id));
     let mut response = response::Response::build();
     response
         .status(status_of(failure.code))
         .header(ContentType::JSON)
         .header(Header::new(OUTCOME_HEADER, failure.outcome.to_string()))
-        .sized_body(body.len(), Cursor::new(body));
+        .sized_body(body.len(), GuardedBody::new(body, request));
     if let Some(wait) = failure.retry_after {
         let seconds = wait.as_secs().max(1).to_string();
         response.header(Header::new("retry-after", seconds));
@@ -84,9 +130,13 @@
 impl<'r> Responder<'r, 'r> for CallerResponse {
     fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
         let mut response = match self.reply {
-            Reply::Failed(failure) => failed(&failure, &self.id),
+            Reply::Failed(failure) => failed(&failure, &self.id, self.request),
             Reply::Events(events) => {
-                let mut response = events.respond_to(request)?;
+                let guard = self.request;
+                let events = events.0.inspect(move |_| {
+                    let _ = &guard;
+                });
+                let mut response = ByteStream(events.boxed()).respond_to(request)?;
                 response.set_header(ContentType::EventStream);
                 response
             }
@@ -96,7 +146,7 @@
                 if let Some(content_type) = content_type {
                     response.header(Header::new("content-type", content_type));
                 }
-                response.sized_body(body.len(), Cursor::new(body)).finalize()
+                response.sized_body(body.len(), GuardedBody::new(body, self.request)).finalize()
             }
         };
         response.set_header(Header::new(REQUEST_ID_HEADER, self.id));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod options;
 pub mod peer_handler;
+mod response_space;
 pub mod shared;
 pub mod status;
 pub mod tables;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
         coordinator::CallCoordinator,
         error::NodeError,
         front::{
-            acceptor::{Acceptor, RunningAcceptor},
+            acceptor::{Acceptor, CONNECTION_COSTS, RunningAcceptor},
             callers,
             connections::{Limits, Listener},
             operators, plain,
@@ -41,6 +41,10 @@
     turmerictack_membership::gossip::{NodeInfo, NodeState},
     turmerictack_model::{clock::unix_millis, ids::Address, pool::Pool},
     turmerictack_protocol::server::PeerServer,
+    turmerictack_serving::{
+        client_gate::ClientGate,
+        client_memory::{AccountConfig, ClientLimits},
+    },
     turmerictack_settings::node::NodeSettings,
 };
 
@@ -56,6 +60,13 @@
 /// Largest number of open connections of operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
 
+/// Fraction of the memory that the account of operators is opened for.
+const OPERATOR_MEMORY_FRACTION: usize = 16;
+
+/// Age below which no connection of an operator is closed for another; operators send their request at
+/// once.
+const MIN_OPERATOR_AGE: Duration = Duration::from_millis(100);
+
 /// Interval at which a drain polls for the end of calls and writes.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -226,14 +237,25 @@
         .mount("/", routes)
         .mount("/", plain::routes(shared));
     let limits = Limits::new(shared.settings.connections);
-    launch(rocket, &shared.settings.caller_address, Listener::Callers, limits, shared).await
+    let gate = Arc::clone(&shared.callers);
+    launch(rocket, &shared.settings.caller_address, Listener::Callers, limits, shared, gate).await
 }
 
 async fn launch_operators(shared: &Arc<Shared>) -> Result<HttpListener, NodeError> {
     let routes = routes![operators::status, operators::burn, operators::drain, operators::lift];
     let rocket = rocket::custom(rocket_config()).manage(Arc::clone(shared)).mount("/", routes);
     let limits = Limits::new(MAX_OPERATOR_CONNECTIONS);
-    launch(rocket, &shared.settings.operator_address, Listener::Operators, limits, shared).await
+    let memory = Some((shared.settings.memory_mb << 20) / OPERATOR_MEMORY_FRACTION);
+    let account = AccountConfig {
+        limits: ClientLimits { memory, sockets: None },
+        costs: CONNECTION_COSTS,
+        connections: MAX_OPERATOR_CONNECTIONS,
+        min_age: MIN_OPERATOR_AGE,
+    };
+    let metrics = Arc::clone(&shared.proxy.interfaces.metrics);
+    let gate = ClientGate::open(account, Arc::clone(shared.clock()), metrics);
+    let address = &shared.settings.operator_address;
+    launch(rocket, address, Listener::Operators, limits, shared, gate).await
 }
 
 /// Starts an HTTP server, waits until it listens, and starts the acceptor in front of it.
@@ -243,10 +265,11 @@
     listener: Listener,
     limits: Limits,
     shared: &Arc<Shared>,
+    gate: Arc<ClientGate>,
 ) -> Result<HttpListener, NodeError> {
     let failed = || NodeError::Bind { address: address.clone() };
     let (tables, clock) = (Arc::clone(&shared.tables), Arc::clone(shared.clock()));
-    let acceptor = Acceptor::bind(address, listener, limits, tables, clock).await;
+    let acceptor = Acceptor::bind_with(address, listener, limits, tables, clock, gate).await;
     let acceptor = acceptor.map_err(|_| failed())?;
     let (tx, mut rx) = mpsc::channel(1);
     let rocket = rocket
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,6 +8,7 @@
     },
     tokio::sync::Notify,
     turmerictack_model::{clock::Clock, ids::Incarnation},
+    turmerictack_serving::client_gate::ClientGate,
     turmerictack_settings::node::NodeSettings,
 };
 
@@ -19,6 +20,8 @@
     pub tables: Arc<Tables>,
     /// Proxy for calls, with the worker pool and the interfaces.
     pub proxy: Arc<Proxy>,
+    /// Account of what callers hold.
+    pub callers: Arc<ClientGate>,
     /// Wakes the gossip task when there are new updates to spread.
     pub gossip_wakeup: Notify,
     /// Notified when an operator requests a drain.
@@ -64,10 +67,12 @@
         proxy: Arc<Proxy>,
         incarnation: Incarnation,
     ) -> Self {
+        let callers = Arc::clone(&proxy.interfaces.callers);
         Self {
             settings,
             tables,
             proxy,
+            callers,
             gossip_wakeup: Notify::new(),
             stop_request: Notify::new(),
             responses: InFlightCount::default(),
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -37,6 +37,7 @@
         quarantine::Quarantine,
         upstream_set::UpstreamSet,
     },
+    turmerictack_serving::accounted_stream::RequestAccount,
     turmerictack_settings::services::Services,
 };
 
@@ -295,6 +296,15 @@
         })
     }
 
+    /// Account of the requests on a connection, if it is open and they are counted.
+    pub fn request_account(
+        &self,
+        listener: Listener,
+        address: Option<SocketAddr>,
+    ) -> Option<RequestAccount> {
+        self.connections.lock().account(ConnectionId { listener, address: address? })
+    }
+
     /// Number of calls waiting or in flight.
     pub fn open_calls(&self) -> usize {
         self.calls.lock().by_id.len()
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -7,7 +7,7 @@
         millis,
     },
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{ops::RangeInclusive, time::Duration},
     turmerictack_model::ids::{Address, DataCentre, NodeId},
 };
 
@@ -49,6 +49,10 @@
     /// Concurrent connections of callers; further ones wait to be accepted.
     #[serde(default = "default_connections")]
     pub connections: usize,
+    /// Memory of the process in MB (1,048,576 bytes), half of which may be held for callers; a caller
+    /// for whom there is no room is refused.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
     /// Seed of the node's random number generator; `None` takes one from the operating system.
     #[serde(default)]
     pub seed: Option<u64>,
@@ -86,6 +90,14 @@
     1024
 }
 
+/// Range of the `memory_mb` setting; with less, the largest request would not fit.
+const MEMORY_MB_RANGE: RangeInclusive<usize> = 64..=1024 * 1024;
+
+/// Memory of a node in the sizes to design for.
+fn default_memory_mb() -> usize {
+    256
+}
+
 fn default_balancer_wait() -> Duration {
     Duration::from_secs(3)
 }
@@ -135,6 +147,15 @@
             };
             return Err(document.error_at(&["connections".into()], kind));
         }
+        if !MEMORY_MB_RANGE.contains(&settings.memory_mb) {
+            let value = settings.memory_mb.to_string();
+            let kind = SettingsErrorKind::OutOfRange {
+                field: "memory_mb",
+                value,
+                expected: "64 to 1048576",
+            };
+            return Err(document.error_at(&["memory_mb".into()], kind));
+        }
         Ok(settings)
     }
 }
--- a/crates/upstream/src/http.rs
+++ b/crates/upstream/src/http.rs
@@ -9,6 +9,7 @@
         engine::{Chunk, Engine, GenerateRequest, MemberReport, Order, ResponseStream, StreamItem},
         error::UpstreamError,
         gate::SendGate,
+        response_space::{ResponseBuffer, ResponseSpace, UncountedSpace},
         service::{PlainCall, PlainResponse, PlainService},
     },
     async_trait::async_trait,
@@ -66,6 +67,7 @@
 pub struct HttpUpstreams {
     pooled_client: Client,
     unpooled_client: Client,
+    response_space: Arc<dyn ResponseSpace>,
     reports: Arc<Mutex<BTreeMap<Address, CachedReport>>>,
 }
 
@@ -96,9 +98,15 @@
         Ok(Self {
             pooled_client: pooled_client.map_err(|_| UpstreamError::Client)?,
             unpooled_client: unpooled_client.map_err(|_| UpstreamError::Client)?,
+            response_space: Arc::new(UncountedSpace),
             reports: Arc::default(),
         })
     }
+
+    /// The same with other buffers for the responses of plain services.
+    pub fn with_response_space(self, response_space: Arc<dyn ResponseSpace>) -> Self {
+        Self { response_space, ..self }
+    }
 }
 
 impl HttpUpstreams {
@@ -351,7 +359,7 @@
             request = request.body(gated_body.body(call.body));
         }
         let response = request.send().await.map_err(|_| gated_body.send_error())?;
-        read_response(response, call.attempt).await
+        read_response(response, call.attempt, self.response_space.open()).await
     }
 }
 
@@ -359,6 +367,7 @@
 async fn read_response(
     mut response: Response,
     attempt: AttemptId,
+    mut body: Box<dyn ResponseBuffer>,
 ) -> Result<PlainResponse, UpstreamError> {
     let header_text = |name: &str| {
         let value = response.headers().get(name)?;
@@ -370,15 +379,14 @@
     }
     let content_type = header_text(header::CONTENT_TYPE.as_str());
     let status = response.status().as_u16();
-    let mut body = BytesMut::new();
     loop {
         match response.chunk().await {
             Ok(Some(bytes)) if body.len() + bytes.len() <= MAX_RESPONSE_BYTES => {
-                body.extend_from_slice(&bytes);
+                body.push(&bytes).await?;
             }
             Ok(Some(_)) => return Err(UpstreamError::Malformed),
             Ok(None) => {
-                return Ok(PlainResponse { status, content_type, body: body.freeze() });
+                return Ok(PlainResponse { status, content_type, body: body.finish().await? });
             }
             Err(_) => return Err(UpstreamError::ConnectionLost),
         }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod error;
 pub mod gate;
 pub mod http;
+pub mod response_space;
 pub mod service;
