--- a/crates/serving/src/client_gate.rs
+++ b/crates/serving/src/client_gate.rs
@@ -2,9 +2,7 @@
 //! clients to go, and gives back what is held when it is dropped.
 
 use {
-    crate::client_memory::{
-        AccountConfig, Admission, ClientLimits, ClientMemory, ConnectionCosts, HolderId, Room,
-    },
+    crate::client_memory::{AccountConfig, Admission, ClientLimits, ClientMemory, HolderId, Room},
     bytes::Bytes,
     cadence::{Counted as _, StatsdClient},
     std::{
@@ -141,9 +139,20 @@
 
     /// Waits for room for `bytes` bytes of a holding in all.
     async fn grow(&self, id: HolderId, bytes: usize) -> Result<(), NoRoom> {
+        let first = self.state.lock().memory.grow(self.clock.now(), id, bytes);
+        self.wait_for_room(id, bytes, first).await
+    }
+
+    /// Acts on the response to a holding that has asked for `bytes` bytes, and asks again until it has
+    /// them or has to go.
+    async fn wait_for_room(
+        &self,
+        id: HolderId,
+        bytes: usize,
+        mut room: Room<Signal>,
+    ) -> Result<(), NoRoom> {
         loop {
             let released = self.released.notified();
-            let room = self.state.lock().memory.grow(self.clock.now(), id, bytes);
             match room {
                 Room::Granted => return Ok(()),
                 Room::Refused => return Err(NoRoom),
@@ -151,6 +160,7 @@
                 Room::Wait => {}
             }
             let _ = timeout(RETRY_INTERVAL, released).await;
+            room = self.state.lock().memory.grow(self.clock.now(), id, bytes);
         }
     }
 
@@ -227,8 +237,13 @@
     /// [`NoRoom`] if there is none in time; the request still has to be ended.
     pub async fn begin(&self) -> Result<(), NoRoom> {
         let now = self.gate.clock.now();
-        self.gate.state.lock().memory.begin_request(now, self.id);
-        self.grow_request(|costs, held| held.max(costs.request)).await
+        let (request, bytes, room) = {
+            let memory = &mut self.gate.state.lock().memory;
+            let (request, held) = memory.begin_request(now, self.id).ok_or(NoRoom)?;
+            let bytes = held.max(memory.costs().request);
+            (request, bytes, memory.grow(now, request, bytes))
+        };
+        self.gate.wait_for_room(request, bytes, room).await
     }
 
     /// Takes the room of a response, for a request that is complete.
@@ -236,19 +251,14 @@
     /// # Errors
     /// [`NoRoom`] if there is none in time; the request still has to be ended.
     pub async fn reserve_response(&self) -> Result<(), NoRoom> {
-        self.grow_request(|costs, held| held + costs.response).await
-    }
-
-    async fn grow_request(
-        &self,
-        bytes: impl FnOnce(ConnectionCosts, usize) -> usize,
-    ) -> Result<(), NoRoom> {
-        let (request, bytes) = {
-            let memory = &self.gate.state.lock().memory;
+        let now = self.gate.clock.now();
+        let (request, bytes, room) = {
+            let memory = &mut self.gate.state.lock().memory;
             let (request, held) = memory.request(self.id).ok_or(NoRoom)?;
-            (request, bytes(memory.costs(), held))
+            let bytes = held + memory.costs().response;
+            (request, bytes, memory.grow(now, request, bytes))
         };
-        self.gate.grow(request, bytes).await
+        self.gate.wait_for_room(request, bytes, room).await
     }
 
     /// Ends a request, whose response has been written.
--- a/crates/serving/src/client_memory/mod.rs
+++ b/crates/serving/src/client_memory/mod.rs
@@ -468,21 +468,24 @@
         id
     }
 
-    /// Holding of the request whose head is complete now, which has to ask for its room; the
-    /// connection is not idle until [`Self::end_request`].
-    pub fn begin_request(&mut self, now: Instant, connection: HolderId) -> Option<HolderId> {
+    /// Holding of the request whose head is complete now, which has to ask for its room, and the bytes
+    /// that it has; the connection is not idle until [`Self::end_request`].
+    pub fn begin_request(
+        &mut self,
+        now: Instant,
+        connection: HolderId,
+    ) -> Option<(HolderId, usize)> {
         let request = match self.connections.get(&connection)?.request {
             Some(request) => request,
             None => self.insert(Holding::new(HoldingKind::Head, now, None)),
         };
-        if let Some(holding) = self.holdings.get_mut(&request) {
-            holding.signal = None;
-        }
+        let holding = self.holdings.get_mut(&request)?;
+        holding.signal = None;
         let connection = self.connections.get_mut(&connection)?;
         connection.idle_since = None;
         connection.has_had_request = true;
         connection.request = Some(request);
-        Some(request)
+        Some((request, holding.held))
     }
 
     /// Holding of the request on a connection, and the bytes that it has.
