Serve a request that arrives as its connection is told to close

Many holders that wait for room ask again at each release; a search in vain through all that is held is not repeated for 50 ms, and what is about to be released is kept as a sum.

--- a/crates/node/src/front/acceptor.rs
+++ b/crates/node/src/front/acceptor.rs
@@ -227,7 +227,11 @@
             () = forward_requests(from_caller, to_inner, id, &cx) => None,
             () = forward_responses(from_inner, &mut to_caller, id, &account, &cx) => None,
             expired = wait_for_timeout(id, &cx) => Some(expired),
-            _ = &mut hold.evicted => None,
+            () = async {
+                let _ = (&mut hold.evicted).await;
+                // A request that has come meanwhile is served.
+                account.wait_for_idle().await;
+            } => None,
         };
         if ended == Some(TimeoutKind::Request) {
             let rejection = rejection();
--- a/crates/serving/src/accounted_stream.rs
+++ b/crates/serving/src/accounted_stream.rs
@@ -15,7 +15,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
-        sync::oneshot,
+        sync::{Notify, oneshot},
     },
 };
 
@@ -42,6 +42,7 @@
     requests_ended: AtomicUsize,
     /// Bytes that may be read before the handler reads on.
     relay_credit: AtomicUsize,
+    ended: Notify,
     /// Wakes a stream that waits for a handler to take the request, or to read on.
     handled: AtomicWaker,
 }
@@ -52,6 +53,7 @@
         self.is_handled.store(false, Ordering::Release);
         self.requests_ended.fetch_add(1, Ordering::AcqRel);
         requests.end();
+        self.ended.notify_waiters();
     }
 }
 
@@ -99,6 +101,17 @@
         (guard, result)
     }
 
+    /// Waits until no request is being handled.
+    pub async fn wait_for_idle(&self) {
+        loop {
+            let ended = self.progress.ended.notified();
+            if !self.progress.is_handled.load(Ordering::Acquire) {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Lets the relay read on by as much as the handler of a request has read.
     pub fn record_read(&self, bytes: usize) {
         self.progress.relay_credit.fetch_add(bytes, Ordering::Relaxed);
@@ -192,6 +205,7 @@
             response_bytes: AtomicUsize::new(0),
             requests_ended: AtomicUsize::new(0),
             relay_credit: AtomicUsize::new(UNLIMITED),
+            ended: Notify::new(),
             handled: AtomicWaker::new(),
         };
         let account = RequestAccount { requests, progress: Arc::new(progress) };
--- a/crates/serving/src/client_memory/mod.rs
+++ b/crates/serving/src/client_memory/mod.rs
@@ -50,6 +50,9 @@
 const MIN_RECEIVE_BYTES: usize = 16 * 1024;
 const MAX_RECEIVE_BYTES: usize = 64 * 1024;
 
+/// Interval between two searches for something that may go.
+const SCAN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Default of [`AccountConfig::min_age`].
 const DEFAULT_MIN_AGE: Duration = Duration::from_secs(1);
 
@@ -188,6 +191,10 @@
     held: usize,
     /// Bytes held by large ones of these.
     large: usize,
+    /// Bytes that are released when those that were told to go have gone.
+    leaving: usize,
+    /// When to look again for something that may go, for large holdings only and for all.
+    next_scans: [Option<Instant>; 2],
     next_id: HolderId,
     holdings: BTreeMap<HolderId, Holding<S>>,
     connections: BTreeMap<HolderId, Connection<S>>,
@@ -212,6 +219,8 @@
             min_age,
             held: 0,
             large: 0,
+            leaving: 0,
+            next_scans: [None; 2],
             next_id: 0,
             holdings: BTreeMap::new(),
             connections: BTreeMap::new(),
@@ -315,9 +324,7 @@
         if let Some(holding) = self.holdings.get_mut(&id) {
             holding.waiting_since = Some(waiting_since);
         }
-        let leaving: usize =
-            self.holdings.values().filter(|h| h.is_evicted).map(Holding::released).sum();
-        if leaving >= missing {
+        if self.leaving >= missing {
             return Room::Wait;
         }
         match self.slowest(now, held > SMALL_BYTES) {
@@ -343,12 +350,19 @@
         over_budget.max((self.large + own + self.connection_bytes()).saturating_sub(large_budget))
     }
 
-    /// Holding that has made least progress for its age, the largest of those that are stalled.
-    fn slowest(&self, now: Instant, only_large: bool) -> Option<HolderId> {
+    /// Holding that has made least progress for its age, the largest of those that are stalled. After
+    /// a search in vain there is none for a while, since many that wait may ask at once.
+    fn slowest(&mut self, now: Instant, only_large: bool) -> Option<HolderId> {
+        let scan = usize::from(only_large);
+        if self.next_scans[scan].is_some_and(|at| now < at) {
+            return None;
+        }
         let candidates = self.holdings.iter().filter(|(_, h)| {
             self.is_old(now, h) && (h.is_large() || !only_large) && h.released() > 0
         });
-        candidates.min_by_key(|(_, h)| h.memory_rank(now)).map(|(id, _)| *id)
+        let slowest = candidates.min_by_key(|(_, h)| h.memory_rank(now)).map(|(id, _)| *id);
+        self.next_scans[scan] = slowest.is_none().then(|| now + SCAN_INTERVAL);
+        slowest
     }
 
     /// Whether something may be told to go, and is old enough for that.
@@ -358,8 +372,10 @@
 
     fn evict(&mut self, id: HolderId) -> Option<S> {
         let holding = self.holdings.get_mut(&id)?;
+        let signal = holding.signal.take()?;
         holding.is_evicted = true;
-        holding.signal.take()
+        self.leaving += holding.released();
+        Some(signal)
     }
 
     fn set_held(&mut self, id: HolderId, held: usize) {
@@ -367,6 +383,9 @@
             let large_bytes = |held: usize| if held > SMALL_BYTES { held } else { 0 };
             self.held = self.held - holding.held + held;
             self.large = self.large - large_bytes(holding.held) + large_bytes(held);
+            if holding.is_evicted {
+                self.leaving = self.leaving - holding.held + held;
+            }
             holding.held = held;
         }
     }
@@ -384,7 +403,9 @@
     /// Gives back what is held.
     pub fn release(&mut self, id: HolderId) {
         self.set_held(id, 0);
-        self.holdings.remove(&id);
+        if let Some(holding) = self.holdings.remove(&id).filter(|h| h.is_evicted) {
+            self.leaving -= holding.linked;
+        }
     }
 
     /// Counts a new connection if there is a place; `signal` is called for if it has to close.
@@ -400,7 +421,7 @@
             self.connections.insert(id, connection);
             return Admission::Admitted(id);
         }
-        if self.leaving() > 0 {
+        if self.leaving_connections() > 0 {
             return Admission::Wait;
         }
         match self.worst_client(now).and_then(|(_, victim)| self.evict_victim(victim)) {
@@ -413,16 +434,17 @@
     /// next client; to be called again until it returns `None`.
     pub fn keep_places_free(&mut self, now: Instant) -> Option<S> {
         let free = self.max_connections - self.connections.len();
-        if free + self.leaving() >= self.max_connections / SPARE_FRACTION {
+        if free + self.leaving_connections() >= self.max_connections / SPARE_FRACTION {
             return None;
         }
         let (rank, victim) = self.worst_client(now)?;
         if rank.is_sound() { None } else { self.evict_victim(victim) }
     }
 
-    /// Connections that are about to be closed.
-    fn leaving(&self) -> usize {
-        let closing = self.connections.values().filter(|c| c.signal.is_none()).count();
+    /// Connections that are about to be closed; one that has got a request meanwhile serves it first.
+    fn leaving_connections(&self) -> usize {
+        let is_closing = |c: &&Connection<S>| c.signal.is_none() && c.request.is_none();
+        let closing = self.connections.values().filter(is_closing).count();
         closing + self.holdings.values().filter(|h| h.is_evicted).count()
     }
 
--- a/crates/serving/tests/accounted_stream.rs
+++ b/crates/serving/tests/accounted_stream.rs
@@ -177,3 +177,20 @@
         connection.client.read_exact(&mut buf).await.unwrap();
     }
 }
+
+/// Guards against a request that is cut off since its connection had been told to close just before.
+#[rstest]
+#[tokio::test]
+async fn connection_that_has_to_close_serves_its_request_first() {
+    let gate = open_gate();
+    let mut connection = connect(&gate, PIPE_BYTES).await;
+    let (guard, begun) = connection.account.begin().await;
+    begun.unwrap();
+    let account = connection.account.clone();
+    let idle = tokio::spawn(async move { account.wait_for_idle().await });
+    tokio::time::sleep(SHORT).await;
+    assert!(!idle.is_finished());
+    drop(guard);
+    connection.stream.flush().await.unwrap();
+    timeout(LONG, idle).await.unwrap().unwrap();
+}
--- a/crates/serving/tests/client_places.rs
+++ b/crates/serving/tests/client_places.rs
@@ -210,3 +210,32 @@
     assert_eq!(memory.admit(start, || 99), Admission::Wait);
     assert_eq!(memory.admit(start + SECOND / 10, || 99), Admission::Evict(0));
 }
+
+/// A connection that was told to close and got a request meanwhile must not keep others waiting.
+#[rstest]
+fn connection_that_serves_a_request_before_it_closes_blocks_nobody() {
+    let (mut memory, start) = (ClientMemory::new(LIMITS), Instant::now());
+    let connections = fill(&mut memory, start, 0);
+    memory.end_request(start, connections[3]);
+    memory.end_request(start, connections[4]);
+    let now = start + SECOND;
+    assert_eq!(memory.admit(now, || 99), Admission::Evict(3));
+    assert_eq!(memory.admit(now, || 99), Admission::Wait);
+    memory.begin_request(now, connections[3]).unwrap();
+    assert_eq!(memory.admit(now, || 99), Admission::Evict(4));
+}
+
+/// Many that wait for room ask again whenever something is released; each search goes through all
+/// that is held.
+#[rstest]
+fn search_in_vain_is_not_repeated_at_once() {
+    let (mut memory, start) = (ClientMemory::new(LIMITS), Instant::now());
+    let first = memory.open_body(start, 1);
+    assert_eq!(memory.grow(start, first, 6 * MIB), Room::Granted);
+    let second = memory.open_body(start, 2);
+    let almost = start + SECOND - Duration::from_millis(10);
+    assert_eq!(memory.grow(almost, second, 3 * MIB), Room::Wait);
+    assert_eq!(memory.grow(start + SECOND, second, 3 * MIB), Room::Wait);
+    let later = start + SECOND + Duration::from_millis(50);
+    assert_eq!(memory.grow(later, second, 3 * MIB), Room::Evict(1));
+}
