Split the account of clients by concern

Limits, places and memory, the stream of a connection and the requests on it, the calls of the other front end and the reading of their bodies each have a file. Nothing else changes; the tests of the account pass as they did.

--- a/crates/node/src/front/acceptor.rs
+++ b/crates/node/src/front/acceptor.rs
@@ -32,9 +32,10 @@
         outcome::{Failure, FailureCode},
     },
     turmerictack_serving::{
-        accounted_stream::{AccountedStream, RequestAccount},
+        accounted_stream::AccountedStream,
         client_gate::{ClientGate, ConnectionHold},
         client_memory::{AccountConfig, ConnectionCosts},
+        request_account::RequestAccount,
     },
 };
 
--- a/crates/node/src/front/callers.rs
+++ b/crates/node/src/front/callers.rs
@@ -4,8 +4,10 @@
     crate::{
         call::{Call, Output, Payload},
         front::{
+            call_account,
             completion::{self, Completion, CompletionApi, ResponseWriter},
             connections::Listener,
+            incoming_body::{IncomingBody, no_room},
             response::{CallerResponse, Reply},
         },
         shared::{InFlightGuard, Shared},
@@ -13,7 +15,6 @@
     bytes::Bytes,
     rocket::{
         Data, State, async_trait,
-        data::{ByteUnit, DataStream},
         futures::StreamExt as _,
         get,
         http::Status,
@@ -23,12 +24,8 @@
         serde::json::Json,
     },
     serde_json::{Value, json},
-    std::{future::poll_fn, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
-    tokio::{
-        io::AsyncReadExt as _,
-        sync::mpsc::{self, Receiver},
-        time::timeout,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::mpsc::{self, Receiver},
     turmerictack_model::{
         clock::unix_millis,
         digest::sha256_hex,
@@ -36,24 +33,13 @@
         outcome::{Failure, FailureCode},
         rank::Rank,
     },
-    turmerictack_serving::{
-        accounted_stream::{RequestAccount, RequestGuard},
-        body_buffer::BodyBuffer,
-        client_gate::{ClientGate, HeldRoom, NoRoom},
-        client_memory::NO_ROOM_RETRY_AFTER,
-    },
+    turmerictack_serving::client_gate::{ClientGate, HeldRoom, NoRoom},
     turmerictack_settings::services::ServiceKind,
 };
 
-/// Longest time that a request body may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Largest request body in bytes, regardless of the services configuration.
 pub const MAX_BODY_BYTES: u64 = 8 << 20;
 
-/// Size of the pieces in which a body is read, in bytes.
-const PIECE_BYTES: usize = 16 * 1024;
-
 /// Bytes by which the request to an engine may be longer than that of the caller.
 const COMPLETION_MARGIN_BYTES: usize = 1024;
 
@@ -159,111 +145,6 @@
     }
 }
 
-/// Body of a request that has not been read.
-pub struct IncomingBody<'r> {
-    /// Bytes as they arrive.
-    pub data: Data<'r>,
-    /// Announced size, in bytes.
-    pub announced: Option<u64>,
-    /// Account of its connection, if that is counted.
-    pub account: Option<RequestAccount>,
-}
-
-impl IncomingBody<'_> {
-    /// Reads the body with limits on its size, on the time that it takes, and on what is held for
-    /// all callers.
-    ///
-    /// # Errors
-    /// The reason for the rejection.
-    pub async fn read(self, limit: u64, gate: &Arc<ClientGate>) -> Result<Bytes, Failure> {
-        let limit = limit.min(MAX_BODY_BYTES);
-        if self.announced.is_some_and(|bytes| bytes > limit) {
-            return Err(Failure::not_run(FailureCode::TooLarge));
-        }
-        let hold = gate.open_body();
-        let announced = self.announced.map(|bytes| bytes as usize);
-        let buffer = BodyBuffer::new(hold.room, announced);
-        let stream = self.data.open(ByteUnit::Byte(limit + 1));
-        tokio::select! {
-            read = timeout(BODY_TIMEOUT, receive(stream, limit as usize, buffer, self.account)) => {
-                read.unwrap_or(Err(Failure::not_run(FailureCode::BadRequest)))
-            }
-            Ok(_) = hold.evicted => Err(no_room(gate)),
-        }
-    }
-}
-
-async fn receive(
-    mut stream: DataStream<'_>,
-    limit: usize,
-    mut buffer: BodyBuffer,
-    account: Option<RequestAccount>,
-) -> Result<Bytes, Failure> {
-    let no_room = |NoRoom| overloaded();
-    let mut piece = vec![0; PIECE_BYTES];
-    loop {
-        let mut reading = pin!(stream.read(&mut piece));
-        let read = poll_fn(|cx| {
-            let read = reading.as_mut().poll(cx);
-            if let Some(account) = account.as_ref().filter(|_| read.is_pending()) {
-                account.record_all_read();
-            }
-            read
-        });
-        let read = read.await;
-        if let (Some(account), Ok(count)) = (&account, &read) {
-            account.record_read(*count);
-        }
-        match read.map_err(|_| Failure::not_run(FailureCode::BadRequest))? {
-            0 => return buffer.finish().await.map_err(no_room),
-            count if buffer.len() + count > limit => {
-                return Err(Failure::not_run(FailureCode::TooLarge));
-            }
-            count => buffer.push(&piece[..count]).await.map_err(no_room)?,
-        }
-    }
-}
-
-/// Rejection of a request for which there is no room.
-pub fn no_room(gate: &ClientGate) -> Failure {
-    gate.record_refusal("no_room");
-    overloaded()
-}
-
-fn overloaded() -> Failure {
-    Failure::not_run(FailureCode::Overloaded).with_retry_after(NO_ROOM_RETRY_AFTER)
-}
-
-/// Counts a request whose head is complete on its connection, if that is counted.
-pub async fn begin_request(
-    shared: &Shared,
-    remote: Option<SocketAddr>,
-) -> (Option<RequestGuard>, Result<(), Failure>) {
-    let Some(account) = shared.tables.request_account(Listener::Callers, remote) else {
-        return (None, Ok(()));
-    };
-    let (guard, begun) = account.begin_relayed().await;
-    (Some(guard), begun.map_err(|NoRoom| no_room(&shared.callers)))
-}
-
-/// Takes the room of a response, and counts those that have a size of their own with it.
-pub async fn reserve_response(shared: &Shared, remote: Option<SocketAddr>) -> Result<(), Failure> {
-    let Some(account) = shared.tables.request_account(Listener::Callers, remote) else {
-        return Ok(());
-    };
-    account.reserve_response().await.map_err(|NoRoom| no_room(&shared.callers))
-}
-
-/// Records the size of a complete response, or that it is a stream.
-pub fn record_response(shared: &Shared, remote: Option<SocketAddr>, reply: &Reply) {
-    let Some(account) = shared.tables.request_account(Listener::Callers, remote) else { return };
-    match reply {
-        Reply::Complete { body, .. } => account.set_response_bytes(body.len()),
-        Reply::Events(_) => account.set_streaming(),
-        Reply::Failed(_) => {}
-    }
-}
-
 /// Liveness check.
 #[get("/healthz")]
 pub fn healthz() -> &'static str {
@@ -318,13 +199,13 @@
 ) -> CallerResponse {
     let id = shared.request_id();
     let remote = headers.remote;
-    let (request, begun) = begin_request(shared, remote).await;
+    let (request, begun) = call_account::begin(shared, remote).await;
     let started = match begun {
         Ok(()) => start_completion(shared, headers, data, api, &id).await,
         Err(failure) => Err(failure),
     };
     let reply = started.unwrap_or_else(Reply::Failed);
-    record_response(shared, remote, &reply);
+    call_account::record_reply(shared, remote, &reply);
     CallerResponse { id, reply, request }
 }
 
@@ -340,7 +221,7 @@
     let account = shared.tables.request_account(Listener::Callers, remote);
     let body = IncomingBody { data, announced, account };
     let body = body.read(MAX_BODY_BYTES, &shared.callers).await?;
-    reserve_response(shared, remote).await?;
+    call_account::reserve_response(shared, remote).await?;
     let body_bytes = body.len() as u64;
     let completion = parse_completion(api, body, &shared.callers).await?;
     let services = shared.tables.services();
--- a/crates/node/src/front/connections.rs
+++ b/crates/node/src/front/connections.rs
@@ -6,7 +6,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    turmerictack_serving::accounted_stream::RequestAccount,
+    turmerictack_serving::request_account::RequestAccount,
 };
 
 /// Limits of one listener's connections.
--- a/crates/node/src/front/plain.rs
+++ b/crates/node/src/front/plain.rs
@@ -4,11 +4,10 @@
     crate::{
         call::{Output, Payload},
         front::{
-            callers::{
-                CallerHeaders, IncomingBody, OUTPUT_BUFFER, begin_request, new_call,
-                record_response, reserve_response,
-            },
+            call_account,
+            callers::{CallerHeaders, OUTPUT_BUFFER, new_call},
             connections::Listener,
+            incoming_body::IncomingBody,
             response::{CallerResponse, Reply},
         },
         shared::Shared,
@@ -48,13 +47,13 @@
         let id = self.0.request_id();
         let _guard = self.0.responses.begin();
         let remote = request.remote();
-        let (guard, begun) = begin_request(&self.0, remote).await;
+        let (guard, begun) = call_account::begin(&self.0, remote).await;
         let forwarded = match begun {
             Ok(()) => forward(&self.0, request, data).await,
             Err(failure) => Err(failure),
         };
         let reply = forwarded.unwrap_or_else(Reply::Failed);
-        record_response(&self.0, remote, &reply);
+        call_account::record_reply(&self.0, remote, &reply);
         Outcome::from(request, CallerResponse { id, reply, request: guard })
     }
 }
@@ -85,7 +84,7 @@
     let account = shared.tables.request_account(Listener::Callers, remote);
     let body = IncomingBody { data, announced, account };
     let body = body.read(service.max_body_bytes, &shared.callers).await?;
-    reserve_response(shared, remote).await?;
+    call_account::reserve_response(shared, remote).await?;
     let payload = Payload::Plain {
         method: request.method().as_str().to_owned(),
         path,
--- a/crates/node/src/front/response.rs
+++ b/crates/node/src/front/response.rs
@@ -16,7 +16,7 @@
     },
     tokio::io::{AsyncRead, AsyncSeek, ReadBuf},
     turmerictack_model::outcome::{Failure, FailureCode},
-    turmerictack_serving::accounted_stream::RequestGuard,
+    turmerictack_serving::request_account::RequestGuard,
 };
 
 /// Header with the id of the request.
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -37,7 +37,7 @@
         quarantine::Quarantine,
         upstream_set::UpstreamSet,
     },
-    turmerictack_serving::accounted_stream::RequestAccount,
+    turmerictack_serving::request_account::RequestAccount,
     turmerictack_settings::services::Services,
 };
 
--- a/crates/serving/src/client_memory/mod.rs
+++ b/crates/serving/src/client_memory/mod.rs
@@ -4,20 +4,22 @@
 //! their end, or leave their responses unread.
 
 mod holding;
+mod limits;
+mod places;
 
 use {
-    holding::{Holding, Victim},
+    holding::Holding,
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
     },
 };
 
-pub use holding::HoldingKind;
-
-/// Fraction of the memory of the process that may be held for clients; the rest is for peers and the
-/// process itself, and for the gaps between allocations.
-const CLIENT_FRACTION: usize = 2;
+pub use {
+    holding::HoldingKind,
+    limits::{AccountConfig, ClientLimits, ConnectionCosts},
+    places::Admission,
+};
 
 /// Fraction of the budget that holdings above [`SMALL_BYTES`] leave to small ones.
 const SMALL_FRACTION: usize = 4;
@@ -25,126 +27,15 @@
 /// Size up to which a holding counts as small, in bytes.
 const SMALL_BYTES: usize = 64 * 1024;
 
-/// Fraction of the budget that idle connections may take.
-const CONNECTION_FRACTION: usize = 2;
-
-/// Fraction of the places that is kept free of stalled clients.
-const SPARE_FRACTION: usize = 8;
-
-/// Sockets that are left to the store, peers and upstreams, as a fraction of all.
-const OTHER_SOCKETS_FRACTION: usize = 4;
-
-/// Sockets of the listeners for operators and of the connections to the store and to peers.
-const SYSTEM_SOCKETS: usize = 96;
-
-/// Connections to upstreams that are possible with any number of sockets.
-const MIN_UPSTREAM_CONNECTIONS: usize = 16;
-
-/// Fraction of the budget that the receive buffers of [`LISTEN_BACKLOG`] connections may fill.
-const RECEIVE_FRACTION: usize = 4;
-
-/// Connections that the system accepts on behalf of a listener.
-const LISTEN_BACKLOG: usize = 1024;
-
-/// Smallest and largest receive buffer of a connection, in bytes.
-const MIN_RECEIVE_BYTES: usize = 16 * 1024;
-const MAX_RECEIVE_BYTES: usize = 64 * 1024;
-
 /// Interval between two searches for something that may go.
 const SCAN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Default of [`AccountConfig::min_age`].
-const DEFAULT_MIN_AGE: Duration = Duration::from_secs(1);
-
 /// Delay after which a client that found no room may retry.
 pub const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Id of a holding or a connection.
 pub type HolderId = u64;
 
-/// What a node has; `None` is no bound.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClientLimits {
-    /// Memory of the process, in bytes.
-    pub memory: Option<usize>,
-    /// Number of sockets that may be open.
-    pub sockets: Option<usize>,
-}
-
-impl ClientLimits {
-    /// Bytes that may be held for clients.
-    fn budget(&self) -> usize {
-        self.memory.map_or(usize::MAX, |bytes| bytes / CLIENT_FRACTION)
-    }
-
-    /// Connections to upstreams that may be open, of the sockets that clients leave.
-    pub fn upstream_connections(&self) -> Option<usize> {
-        let others = self.sockets? / OTHER_SOCKETS_FRACTION;
-        Some(others.saturating_sub(SYSTEM_SOCKETS).max(MIN_UPSTREAM_CONNECTIONS))
-    }
-
-    /// Size for the receive buffers of client connections, in bytes, since what the system has
-    /// received for a process counts as its memory; `None` leaves it to the system.
-    pub fn receive_buffer(&self) -> Option<usize> {
-        self.memory?;
-        let share = self.budget() / RECEIVE_FRACTION / LISTEN_BACKLOG;
-        Some(share.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
-    }
-}
-
-/// What a connection of a front end takes, in bytes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionCosts {
-    /// Without a request: task, buffers, and the start of a request head.
-    pub idle: usize,
-    /// In addition with a request: a further buffer, and its state.
-    pub request: usize,
-    /// In addition with a head that is longer than its start: its buffer, the table of its fields,
-    /// and the head that is sent to the upstream.
-    pub long_head: usize,
-    /// In addition from the end of the request on: the connection to the upstream, a response that is
-    /// not counted by itself, and what the client goes on sending.
-    pub response: usize,
-    /// In addition while the client does not read a stream.
-    pub stream_backlog: usize,
-}
-
-impl Default for ConnectionCosts {
-    fn default() -> Self {
-        Self {
-            idle: 16 * 1024,
-            request: 8 * 1024,
-            long_head: 64 * 1024,
-            response: 16 * 1024,
-            stream_backlog: 64 * 1024,
-        }
-    }
-}
-
-/// What an account allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AccountConfig {
-    /// What the node has.
-    pub limits: ClientLimits,
-    /// What a connection takes.
-    pub costs: ConnectionCosts,
-    /// Maximum number of connections, if the limits allow so many.
-    pub connections: usize,
-    /// Age below which a client does not have to go.
-    pub min_age: Duration,
-}
-
-impl Default for AccountConfig {
-    fn default() -> Self {
-        Self {
-            limits: ClientLimits::default(),
-            costs: ConnectionCosts::default(),
-            connections: usize::MAX,
-            min_age: DEFAULT_MIN_AGE,
-        }
-    }
-}
-
 /// Response to a holding that asks for room; `S` is how another one learns that it has to go.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Room<S> {
@@ -158,17 +49,6 @@
     Refused,
 }
 
-/// Response to a new connection.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Admission<S> {
-    /// The connection is counted.
-    Admitted(HolderId),
-    /// There may be a place once a connection is closed.
-    Wait,
-    /// The same, once this client has been told to go.
-    Evict(S),
-}
-
 #[derive(Debug)]
 struct Connection<S> {
     /// Start of the time without a request; `None` while one is served.
@@ -208,15 +88,11 @@
 
     /// The same with a configuration.
     pub fn with_config(config: AccountConfig) -> Self {
-        let AccountConfig { limits, costs, connections, min_age } = config;
-        let budget = limits.budget();
-        let by_memory = budget / CONNECTION_FRACTION / costs.idle;
-        let by_sockets = limits.sockets.map_or(usize::MAX, |n| n - n / OTHER_SOCKETS_FRACTION);
         Self {
-            budget,
-            costs,
-            max_connections: by_memory.min(by_sockets).min(connections).max(1),
-            min_age,
+            budget: config.limits.budget(),
+            costs: config.costs,
+            max_connections: config.max_connections(),
+            min_age: config.min_age,
             held: 0,
             large: 0,
             leaving: 0,
@@ -408,69 +284,6 @@
         }
     }
 
-    /// Counts a new connection if there is a place; `signal` is called for if it has to close.
-    pub fn admit(&mut self, now: Instant, signal: impl FnOnce() -> S) -> Admission<S> {
-        if self.connections.len() < self.max_connections {
-            let id = self.new_id();
-            let connection = Connection {
-                idle_since: Some(now),
-                has_had_request: false,
-                request: None,
-                signal: Some(signal()),
-            };
-            self.connections.insert(id, connection);
-            return Admission::Admitted(id);
-        }
-        if self.leaving_connections() > 0 {
-            return Admission::Wait;
-        }
-        match self.worst_client(now).and_then(|(_, victim)| self.evict_victim(victim)) {
-            Some(signal) => Admission::Evict(signal),
-            None => Admission::Wait,
-        }
-    }
-
-    /// Tells a client that does not get on to go if few places are left, so that there is one for the
-    /// next client; to be called again until it returns `None`.
-    pub fn keep_places_free(&mut self, now: Instant) -> Option<S> {
-        let free = self.max_connections - self.connections.len();
-        if free + self.leaving_connections() >= self.max_connections / SPARE_FRACTION {
-            return None;
-        }
-        let (rank, victim) = self.worst_client(now)?;
-        if rank.is_sound() { None } else { self.evict_victim(victim) }
-    }
-
-    /// Connections that are about to be closed; one that has got a request meanwhile serves it first.
-    fn leaving_connections(&self) -> usize {
-        let is_closing = |c: &&Connection<S>| c.signal.is_none() && c.request.is_none();
-        let closing = self.connections.values().filter(is_closing).count();
-        closing + self.holdings.values().filter(|h| h.is_evicted).count()
-    }
-
-    /// Client whose connection is the first to be closed for a place.
-    fn worst_client(&self, now: Instant) -> Option<(holding::PlaceRank, Victim)> {
-        let holdings = self
-            .holdings
-            .iter()
-            .filter(|(_, h)| self.is_old(now, h))
-            .map(|(id, h)| (h.place_rank(now), Victim::Holding(*id)));
-        let idle = self.connections.iter().filter_map(|(id, c)| {
-            let since = c.idle_since.filter(|since| now >= *since + self.min_age)?;
-            c.signal.is_some().then_some(())?;
-            let rank = holding::PlaceRank::idle(c.has_had_request, since);
-            Some((rank, Victim::Connection(*id)))
-        });
-        holdings.chain(idle).min_by_key(|(rank, _)| *rank)
-    }
-
-    fn evict_victim(&mut self, victim: Victim) -> Option<S> {
-        match victim {
-            Victim::Holding(id) => self.evict(id),
-            Victim::Connection(id) => self.connections.get_mut(&id)?.signal.take(),
-        }
-    }
-
     /// Records that a request on a connection begins (`None`), or when it has ended.
     pub fn set_idle_since(&mut self, id: HolderId, idle_since: Option<Instant>) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod rejection;
 pub mod relay;
 pub mod request;
+pub mod request_account;
 pub mod response_time;
 pub mod retry_budget;
 pub mod shutdown;
--- a/crates/serving/tests/accounted_stream.rs
+++ b/crates/serving/tests/accounted_stream.rs
@@ -12,9 +12,10 @@
     },
     turmerictack_model::clock::SystemClock,
     turmerictack_serving::{
-        accounted_stream::{AccountedStream, RequestAccount},
+        accounted_stream::AccountedStream,
         client_gate::{ClientGate, ConnectionHold},
         client_memory::{AccountConfig, ClientLimits, ConnectionCosts},
+        request_account::RequestAccount,
     },
 };
 
