Count leaving connections only where places run short

Each new connection went through all others for the spare places, also with most places free (by reading).

--- a/crates/serving/src/client_memory/places.rs
+++ b/crates/serving/src/client_memory/places.rs
@@ -49,7 +49,8 @@
     /// next client; to be called again until it returns `None`.
     pub fn keep_places_free(&mut self, now: Instant) -> Option<S> {
         let free = self.max_connections - self.connections.len();
-        if free + self.leaving_connections() >= self.max_connections / SPARE_FRACTION {
+        let spare = self.max_connections / SPARE_FRACTION;
+        if free >= spare || free + self.leaving_connections() >= spare {
             return None;
         }
         let (rank, victim) = self.worst_client(now)?;
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -19,6 +19,9 @@
 /// Number of bytes that a client writes at once; a node still reads pieces one by one.
 const WRITE_BYTES: usize = 64 * 1024;
 
+/// Size of the value of a header field.
+const FIELD_VALUE_BYTES: usize = 150;
+
 /// Pause before a client connects again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(20);
 
@@ -26,6 +29,18 @@
 const SLOW_READ_BYTES: usize = 256;
 const SLOW_READ_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Header fields of about `bytes` bytes in all.
+pub fn long_fields(bytes: usize) -> String {
+    let value = "v".repeat(FIELD_VALUE_BYTES);
+    let field = |at: usize| format!("x-field-{at:04}: {value}\r\n");
+    (0..bytes / field(0).len()).map(field).collect()
+}
+
+/// A chunk of a body that is sent in chunks.
+pub fn chunk(bytes: usize) -> String {
+    format!("{bytes:x}\r\n{}\r\n", "x".repeat(bytes))
+}
+
 /// What a client reads of its responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reading {
--- a/crates/standin/tests/hostile_callers.rs
+++ b/crates/standin/tests/hostile_callers.rs
@@ -12,7 +12,7 @@
     },
     turmerictack_standin::{
         client::Caller,
-        crowd::{Crowd, Reading, Script},
+        crowd::{Crowd, Reading, Script, chunk, long_fields},
         fleet::{Fleet, OPERATOR_KEY},
         fleet_config::{FleetConfig, caller_key},
         process::{held_memory, open_descriptors},
@@ -60,15 +60,6 @@
     head("POST", "/services/bookings/bookings", "member", fields)
 }
 
-fn long_fields(bytes: usize) -> String {
-    let value = "v".repeat(150);
-    (0..bytes / 164).map(|i| format!("x-field-{i:04}: {value}\r\n")).collect()
-}
-
-fn chunk(bytes: usize) -> String {
-    format!("{bytes:x}\r\n{}\r\n", "x".repeat(bytes))
-}
-
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 
 /// A body of which `bytes` bytes are announced, and nearly as many sent as are allowed.
