--- a/crates/node/src/front/call_account.rs
+++ b/crates/node/src/front/call_account.rs
@@ -22,7 +22,7 @@
     (Some(guard), begun.map_err(|NoRoom| no_room(&shared.callers)))
 }
 
-/// Takes the room of a response, and counts those that have a size of their own with it.
+/// Takes the room of a response, for a call that is complete.
 pub async fn reserve_response(shared: &Shared, remote: Option<SocketAddr>) -> Result<(), Failure> {
     let Some(account) = shared.tables.request_account(Listener::Callers, remote) else {
         return Ok(());
--- a/crates/node/src/front/response.rs
+++ b/crates/node/src/front/response.rs
@@ -133,6 +133,7 @@
             Reply::Failed(failure) => failed(&failure, &self.id, self.request),
             Reply::Events(events) => {
                 let guard = self.request;
+                // The request ends when the stream is dropped.
                 let events = events.0.inspect(move |_| {
                     let _ = &guard;
                 });
