Let more clients wait for a place than 128

Trace: the node closed and accepted 375 connections each second, as it should, and the ordinary request never reached it. A first packet that finds the queue full is dropped and sent again after one and three seconds, so that who gets in is luck, and clients that try again every 20 ms have more of it.

The queue of both listeners has 1,024 connections, the number that their receive buffers are reckoned for, so that the order is kept.

--- a/crates/node/src/front/acceptor.rs
+++ b/crates/node/src/front/acceptor.rs
@@ -14,7 +14,6 @@
         tables::Tables,
     },
     cadence::{NopMetricSink, StatsdClient},
-    socket2::SockRef,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _, ReadHalf, WriteHalf, split},
@@ -34,6 +33,7 @@
     turmerictack_serving::{
         accounted_stream::AccountedStream,
         client_gate::{ClientGate, ConnectionHold},
+        client_listener,
         client_memory::{AccountConfig, ConnectionCosts},
         request_account::RequestAccount,
     },
@@ -120,11 +120,7 @@
         clock: Arc<dyn Clock>,
         gate: Arc<ClientGate>,
     ) -> io::Result<Self> {
-        let socket = TcpListener::bind(address.as_str()).await?;
-        if let Some(bytes) = gate.limits().receive_buffer() {
-            // Connections inherit it, those included that are not accepted yet.
-            SockRef::from(&socket).set_recv_buffer_size(bytes)?;
-        }
+        let socket = client_listener::bind(address, gate.limits())?;
         let cx = Context { listener, limits, tables, clock, gate };
         Ok(Self { socket, cx: Arc::new(cx) })
     }
--- a/crates/serving/src/client_memory/limits.rs
+++ b/crates/serving/src/client_memory/limits.rs
@@ -22,7 +22,7 @@
 const RECEIVE_FRACTION: usize = 4;
 
 /// Connections that the system accepts on behalf of a listener.
-const LISTEN_BACKLOG: usize = 1024;
+pub(crate) const LISTEN_BACKLOG: u32 = 1024;
 
 /// Smallest and largest receive buffer of a connection, in bytes.
 const MIN_RECEIVE_BYTES: usize = 16 * 1024;
@@ -56,7 +56,7 @@
     /// received for a process counts as its memory; `None` leaves it to the system.
     pub fn receive_buffer(&self) -> Option<usize> {
         self.memory?;
-        let share = self.budget() / RECEIVE_FRACTION / LISTEN_BACKLOG;
+        let share = self.budget() / RECEIVE_FRACTION / LISTEN_BACKLOG as usize;
         Some(share.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
     }
 }
--- a/crates/serving/src/client_memory/mod.rs
+++ b/crates/serving/src/client_memory/mod.rs
@@ -15,6 +15,7 @@
     },
 };
 
+pub(crate) use limits::LISTEN_BACKLOG;
 pub use {
     holding::HoldingKind,
     limits::{AccountConfig, ClientLimits, ConnectionCosts},
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,13 +6,14 @@
 //! [`allowance`] of the upstream and the [`pace`] of one that has just returned, [`attempts`] decides
 //! on retries, and [`client_memory`] on what is held for clients, for which [`client_gate`] keeps the
 //! account. [`proxy::Proxy`] takes a request through them. Front ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
-//! neither message encodings nor sockets.
+//! no message encodings, and no sockets but those of [`client_listener`].
 
 pub mod accounted_stream;
 pub mod allowance;
 pub mod attempts;
 pub mod body_buffer;
 pub mod client_gate;
+pub mod client_listener;
 pub mod client_memory;
 pub mod client_presence;
 pub mod cold_periods;
