--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -9,7 +9,8 @@
     async_trait::async_trait,
     bytes::Bytes,
     displaydoc::Display,
-    std::time::Duration,
+    std::{io, time::Duration},
+    tokio::io::{AsyncRead, AsyncWrite},
     turmerictack_groups::{formation::Order, plan::Plan},
     turmerictack_model::{
         ids::{Address, Era, EventPosition, InstanceId},
@@ -141,6 +142,26 @@
     }
 }
 
+/// Connection to an instance.
+pub trait ByteStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> ByteStream for T {}
+
+/// Opens connections to instances.
+#[async_trait]
+pub trait Dialer: Send + Sync {
+    /// Opens a connection; no byte is sent on it.
+    ///
+    /// # Errors
+    /// [`io::ErrorKind::ConnectionRefused`] if no process listens on the address, or another error if
+    /// the instance can't be reached. It may take any time; callers bound it.
+    async fn dial(
+        &self,
+        instance: &InstanceId,
+        address: &Address,
+    ) -> io::Result<Box<dyn ByteStream>>;
+}
+
 /// Client that sends requests to upstreams.
 #[async_trait]
 pub trait UpstreamClient: Send + Sync {
