--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -12,6 +12,7 @@
     std::{
         fmt::Write as _,
         io::{self, Write},
+        panic,
         sync::Arc,
     },
     turmerictack_settings::node::LogLevel,
@@ -59,6 +60,19 @@
     Ok(Log { queue })
 }
 
+/// Logs each panic as an event, in addition to what is done about it otherwise.
+pub fn log_panics() {
+    let previous = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        let location = info.location().map(ToString::to_string).unwrap_or_default();
+        let payload = info.payload();
+        let text = payload.downcast_ref::<String>().map(String::as_str);
+        let message = text.or_else(|| payload.downcast_ref::<&str>().copied()).unwrap_or_default();
+        event("panicked").with("location", location).with("message", message).error();
+        previous(info);
+    }));
+}
+
 /// Builder for the log line of an event.
 #[derive(Debug)]
 #[must_use]
