Read listings to their end whatever names they hold

Nodes that started beside entries of another writer were not ready, as long as a name such as `a01%zz8f7696` ended a page of a listing: the client put that name unescaped into the position of the next page, so the store rejected the page, or began it elsewhere.

Ruled out for these cases: values and sizes (the entries are few and `null`), and the store's absence (the same nodes start with another page size).

Names are escaped by a library in all calls. A listing goes on after the last name of a page, uses a position once, and skips a few names where the store takes none or doesn't get further; names over 1,024 bytes are ignored.

`store`, `evacuations`, `cut_watches`, `relay`, `whole_path`, `store_failure_log` of the adapter and `relay`, `evacuations`, `store_eras`, `outages` of serving pass.

--- a/crates/serving/src/evacuations.rs
+++ b/crates/serving/src/evacuations.rs
@@ -84,11 +84,17 @@
         listed: &BTreeSet<DataCentre>,
         end_at: Instant,
     ) -> Vec<DataCentre> {
-        self.is_unread = false;
         let missing = self.evacuated.keys().filter(|name| !listed.contains(*name));
         for data_centre in missing.cloned().collect::<Vec<_>>() {
             self.schedule_end(&data_centre, end_at);
         }
+        self.extend(now, listed)
+    }
+
+    /// Applies a listing that may lack evacuated data centres; those missing from it stay evacuated.
+    /// Returns the data centres that are newly evacuated.
+    pub fn extend(&mut self, now: Instant, listed: &BTreeSet<DataCentre>) -> Vec<DataCentre> {
+        self.is_unread = false;
         listed.iter().filter(|name| self.begin(now, name)).cloned().collect()
     }
 
--- a/crates/serving/src/relay/facts.rs
+++ b/crates/serving/src/relay/facts.rs
@@ -110,6 +110,34 @@
         true
     }
 
+    /// Records what could be read of a listing; returns `false` if it is older than what is known, in
+    /// which case it is ignored.
+    ///
+    /// Objects that it lacks are kept, since they may be among those that could not be read. Other
+    /// nodes must not take this one's objects for all there are, so it stops watching for them.
+    pub fn record_incomplete_listing(
+        &mut self,
+        now: Instant,
+        version: StoreVersion,
+        objects: &[ObjectChange],
+    ) -> bool {
+        if version < self.version {
+            return false;
+        }
+        self.set_watching(false);
+        if version.era > self.version.era {
+            self.begin_era(now, version);
+        }
+        objects.iter().for_each(|object| self.apply(object));
+        self.version = version;
+        true
+    }
+
+    /// Whether an object is known.
+    pub fn knows(&self, name: &str) -> bool {
+        self.versions.contains_key(name)
+    }
+
     /// Records changes after the known version that the store returned, complete up to `version`.
     pub fn record_changes(&mut self, version: StoreVersion, changes: Vec<ObjectChange>) {
         for change in &changes {
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -1,13 +1,14 @@
 //! Relay of the platform's facts: a few nodes watch the store, and the others learn from them.
 //!
 //! [`facts`] holds what a node knows of the objects of one kind, and what it can pass on;
-//! [`source`] decides whom a node asks, and [`outage`] what counts as an outage of the store. They are
-//! free of transport and clocks. [`board`] answers the
-//! requests of other nodes.
+//! [`source`] decides whom a node asks, [`outage`] what counts as an outage of the store, and
+//! [`relisting`] when an incomplete listing is repeated. They are free of transport and clocks.
+//! [`board`] answers the requests of other nodes.
 
 pub mod board;
 pub mod facts;
 pub mod outage;
+pub mod relisting;
 pub mod source;
 
 use {
