Bound the changes that are kept for other nodes by their size

A node that watches the store for others keeps up to 4,096 last changes of each kind, whatever their size, and passes them on in one message of 2 MiB at most. 38 changes of 1 MiB were all kept and all put into one answer: it could not be encoded, so that followers got no answer for each request and turned to the store. Ends of objects that no node ever used took up places as well: 4,998 of them made the history too short for a follower that had missed nothing.

The names and values that are kept now have 1.5 MiB at most; a node that lags further behind reads the store, as it did for more than 4,096 changes. Ends of unknown objects are not kept. A configuration of 1 MiB still fits.

--- a/crates/serving/src/relay/facts.rs
+++ b/crates/serving/src/relay/facts.rs
@@ -13,6 +13,10 @@
 /// store.
 const MAX_CHANGES: usize = 4_096;
 
+/// Maximum size of the names and values of these changes, in bytes; the answer to another node has to
+/// fit into one message of 2 MiB.
+const MAX_CHANGE_BYTES: usize = 3 * 512 * 1024;
+
 /// Objects of one kind as a node knows them from the store or a relay.
 #[derive(Debug, Default)]
 pub struct Facts {
@@ -29,6 +33,8 @@
     ///
     /// Earlier changes of an object are of no use to a node that gets the last one.
     changes: BTreeMap<(StoreVersion, ObjectName), ObjectChange>,
+    /// Size of the names and values of `changes`, in bytes.
+    change_bytes: usize,
     /// Version of the change that is kept of an object.
     logged: BTreeMap<ObjectName, StoreVersion>,
     /// Version after which `changes` are complete.
@@ -62,8 +68,7 @@
     /// Sets whether this node watches the store for others.
     pub fn set_watching(&mut self, is_watching: bool) {
         if is_watching && !self.is_watching {
-            self.changes.clear();
-            self.logged.clear();
+            self.clear_changes();
             self.complete_after = self.version;
             self.holds_era = false;
         }
@@ -140,11 +145,16 @@
 
     /// Records changes after the known version that the store returned, complete up to `version`.
     pub fn record_changes(&mut self, version: StoreVersion, changes: Vec<ObjectChange>) {
-        for change in &changes {
-            self.apply(change);
+        let mut known = Vec::new();
+        for change in changes {
+            // Other nodes have no use for the end of what none of them ever knew.
+            if change.value.is_some() || self.versions.contains_key(&change.name) {
+                self.apply(&change);
+                known.push(change);
+            }
         }
         if self.is_watching {
-            self.log(changes);
+            self.log(known);
         }
         self.version = self.version.max(version);
     }
@@ -243,8 +253,7 @@
         if self.era_start.is_none_or(|start| start.version.era < seen.era) {
             self.era_start = Some(EraStart { version: seen, seen_at: now });
         }
-        self.changes.clear();
-        self.logged.clear();
+        self.clear_changes();
         self.holds_era = self.is_watching && self.confirmed_at.is_some();
         self.record_outage_end(now);
     }
@@ -269,16 +278,25 @@
         }
     }
 
+    fn clear_changes(&mut self) {
+        self.changes.clear();
+        self.logged.clear();
+        self.change_bytes = 0;
+    }
+
     fn log(&mut self, changes: Vec<ObjectChange>) {
         for change in changes {
             let (name, version) = (change.name.clone(), change.version);
             if let Some(replaced) = self.logged.insert(name.clone(), version) {
-                self.changes.remove(&(replaced, name.clone()));
+                let replaced = self.changes.remove(&(replaced, name.clone()));
+                self.change_bytes -= replaced.as_ref().map_or(0, ObjectChange::bytes);
             }
+            self.change_bytes += change.bytes();
             self.changes.insert((version, name), change);
         }
-        while self.changes.len() > MAX_CHANGES {
-            if let Some(((version, name), _)) = self.changes.pop_first() {
+        while self.changes.len() > MAX_CHANGES || self.change_bytes > MAX_CHANGE_BYTES {
+            if let Some(((version, name), change)) = self.changes.pop_first() {
+                self.change_bytes -= change.bytes();
                 self.logged.remove(&name);
                 self.complete_after = version;
                 self.holds_era = false;
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -51,6 +51,13 @@
     pub value: Option<String>,
 }
 
+impl ObjectChange {
+    /// Size of the name and the value, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        self.name.len() + self.value.as_ref().map_or(0, String::len)
+    }
+}
+
 /// Changes of the objects of one kind, as a node that watches the store passes them on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChangeSet {
