Form groups after another writer has overwritten the plan

A plan that could not be decoded failed each read (`plan_read_failed`), so that no group was formed any more: what had crashed stayed lost, and streams of its model were refused. A plan with the highest epoch ended the task of the group controller by an overflow (in a release build the epochs would have started at 0), and one with an epoch of 0 made them start again, which instances refuse. An undecodable object beside the plan did the same in each new era. A group that only entries of another writer report was adopted with the highest epoch at the same occasion.

Ruled out: writing an empty plan instead. It would tear down the groups that serve, with epochs that are used up.

A plan counts only under the name of its era, if no instance is in two groups and its epochs were given out, and are not lower than one that this node held in that era. Otherwise (`plan_damaged`) it is replaced at its revision, by what the node held last and what the instances report, as in a new era.

--- a/crates/groups/src/formation/restoration.rs
+++ b/crates/groups/src/formation/restoration.rs
@@ -5,17 +5,11 @@
 
 use {
     super::{EngineInstance, ModelsByService, Phase, member_phase},
-    crate::plan::{Plan, PlannedGroup},
+    crate::plan::{EPOCH_BITS_PER_ERA, Plan, PlannedGroup},
     std::collections::{BTreeMap, BTreeSet},
     turmerictack_model::ids::{Epoch, Era, GroupId, InstanceId},
 };
 
-/// Number of low bits of an epoch that count the groups of one era of the store.
-///
-/// Each era has a range of epochs of its own, so that none that was given out in a later era than
-/// the copy comes from is given out again, although nobody may remember it.
-const EPOCH_BITS_PER_ERA: u32 = 20;
-
 /// Members that report one group and epoch, by rank.
 type ReportedMembers<'a> = BTreeMap<usize, Vec<(&'a InstanceId, &'a EngineInstance)>>;
 
@@ -85,7 +79,9 @@
 ) -> BTreeMap<GroupId, PlannedGroup> {
     let mut reported: BTreeMap<(&GroupId, Epoch), ReportedMembers<'_>> = BTreeMap::new();
     for (id, engine) in engines {
+        // A higher epoch was never given out: it comes from another writer.
         if let Some(m) = &engine.membership
+            && m.epoch <= plan.last_epoch
             && plan.groups.get(&m.group).is_none_or(|group| group.epoch != m.epoch)
         {
             let members = reported.entry((&m.group, m.epoch)).or_default();
--- a/crates/groups/src/held_plan.rs
+++ b/crates/groups/src/held_plan.rs
@@ -36,7 +36,8 @@
     Read,
     /// Wait until the instances are known as they are.
     Wait,
-    /// Write the plan of the era, made with [`Plan::restore`], before anything is derived from it.
+    /// Write the plan of the era, or a stored plan that no node wrote, anew with [`Plan::restore`],
+    /// before anything is derived from it.
     Restore,
     /// Act on the plan.
     Act,
@@ -48,6 +49,10 @@
     current: Option<(Plan, StoreVersion)>,
     confirmed_at: Option<Instant>,
     last_epoch: Epoch,
+    /// The plan that was held last.
+    last: Plan,
+    /// Whether the stored plan is none that a node wrote, and `current` stands for it.
+    is_damaged: bool,
 }
 
 impl HeldPlan {
@@ -71,11 +76,28 @@
         self.last_epoch = self.last_epoch.max(plan.last_epoch);
         self.current = Some((plan, version));
         self.confirmed_at = Some(asked_at);
+        self.is_damaged = false;
+    }
+
+    /// Whether nodes may have written a plan that was read: they give out no epoch twice.
+    pub fn is_plausible(&self, plan: &Plan, version: StoreVersion) -> bool {
+        plan.era != version.era || plan.last_epoch >= self.last_epoch
+    }
+
+    /// Holds the last plan in place of the one that is stored at `version`, which no node wrote; it is
+    /// to be restored.
+    pub fn set_damaged(&mut self, asked_at: Instant, version: StoreVersion) {
+        self.discard();
+        self.current = Some((self.last.clone(), version));
+        self.confirmed_at = Some(asked_at);
+        self.is_damaged = true;
     }
 
     /// Drops the plan, so that it is read again.
     pub fn discard(&mut self) {
-        self.current = None;
+        if let Some((plan, _)) = self.current.take() {
+            self.last = plan;
+        }
     }
 
     /// What to do next.
@@ -87,6 +109,7 @@
         if known.instances != version.era || !is_settled {
             return PlanStep::Wait;
         }
-        if plan.era < version.era { PlanStep::Restore } else { PlanStep::Act }
+        let is_damaged = self.is_damaged || plan.era < version.era;
+        if is_damaged { PlanStep::Restore } else { PlanStep::Act }
     }
 }
--- a/crates/groups/src/plan.rs
+++ b/crates/groups/src/plan.rs
@@ -5,10 +5,19 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     turmerictack_model::ids::{Epoch, Era, GroupId, InstanceId, ModelId, ServiceId},
 };
 
+/// Number of low bits of an epoch that count the groups of one era of the store.
+///
+/// Each era has a range of epochs of its own, so that none that was given out in a later era than
+/// the copy comes from is given out again, although nobody may remember it.
+pub(crate) const EPOCH_BITS_PER_ERA: u32 = 20;
+
+/// End of the epochs that nodes give out; eras have at most 32 bits.
+const MAX_EPOCH: Epoch = 1 << (EPOCH_BITS_PER_ERA + u32::BITS);
+
 /// Planned group of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedGroup {
@@ -54,6 +63,16 @@
 }
 
 impl Plan {
+    /// Whether nodes may have written the plan: no epoch is beyond those given out, and no instance is
+    /// in two groups.
+    pub fn is_consistent(&self) -> bool {
+        let mut members = BTreeSet::new();
+        let has_all = |group: &PlannedGroup| group.epoch <= self.last_epoch;
+        self.last_epoch < MAX_EPOCH
+            && self.groups.values().all(has_all)
+            && self.groups.values().flat_map(|group| &group.members).all(|id| members.insert(id))
+    }
+
     /// Adds a group with the next epoch; returns its id and epoch.
     pub fn add_group(
         &mut self,
--- a/crates/serving/src/group_controller/stored_plan.rs
+++ b/crates/serving/src/group_controller/stored_plan.rs
@@ -46,9 +46,18 @@
     }
 
     /// Reads the plan; returns `false` if that fails.
+    ///
+    /// Another writer may have put anything in its place. What this node held, and what the instances
+    /// report, then make up the plan.
     async fn read_plan(&self, state: &mut LeaderState) -> bool {
         let asked_at = self.clock.now();
-        match self.plan_store.read().await {
+        let read = match self.plan_store.read().await {
+            Ok((plan, version)) if !state.plan.is_plausible(&plan, version) => {
+                Err(PlanError::Damaged { version })
+            }
+            read => read,
+        };
+        match read {
             Ok((plan, version)) => {
                 if state.plan.version().is_some_and(|known| known != version) {
                     state.planner.reset_progress();
@@ -56,6 +65,12 @@
                 state.plan.set(asked_at, plan, version);
                 true
             }
+            Err(PlanError::Damaged { version }) => {
+                logs::event("plan_damaged").with("version", version).warn();
+                state.planner.reset_progress();
+                state.plan.set_damaged(asked_at, version);
+                true
+            }
             Err(error) => {
                 logs::event("plan_read_failed").with("cause", error).warn();
                 state.plan.discard();
@@ -64,7 +79,7 @@
         }
     }
 
-    /// Writes the plan of a new era of the store.
+    /// Writes the plan of a new era of the store, or one that replaces a damaged plan.
     async fn restore_plan(&self, state: &mut LeaderState, models: &ModelsByService) {
         let Some((plan, version)) = state.plan.current().cloned() else { return };
         let engines = self.tables.directory.lock().engine_instances();
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -220,8 +220,11 @@
     Conflict,
     /// the store did not respond or rejected the operation
     Unavailable,
-    /// the stored plan could not be parsed
-    Malformed,
+    /// the stored plan, at version {version}, is none that a node wrote
+    Damaged {
+        /// Version of the stored object, which the next plan replaces.
+        version: StoreVersion,
+    },
 }
 
 /// Storage of the group plan.
@@ -236,7 +239,7 @@
     /// earlier era, which may lack changes that the store has lost.
     ///
     /// # Errors
-    /// [`PlanError::Unavailable`] or [`PlanError::Malformed`].
+    /// [`PlanError::Unavailable`] or [`PlanError::Damaged`].
     async fn read(&self) -> Result<(Plan, StoreVersion), PlanError>;
 
     /// Replaces the plan if its version is still `version`, and returns the new version.
