Compare a bounded number of partitions of a domain

The groups of a domain are chosen among all its possible partitions, whose number grows with a power of its instances. For 300 engine entries of one domain and four models, which any writer of the store can leave there, they need more than 3 GB (the allocation failed at that limit; without a limit the test was killed by the system). Domains of the deployments have 16 instances.

Where there are more than 1,024 partitions, groups are added two, four, ... at a time, and two domains with more than 262,144 combinations are not reconsidered together. Domains of 300 and 2,000 instances are divided so that at least three quarters of them are in groups; the domains of the other tests have fewer partitions, and their results are as before.

--- a/crates/groups/src/partition.rs
+++ b/crates/groups/src/partition.rs
@@ -35,6 +35,13 @@
 /// Maximum number of times that the choice for each domain is reconsidered.
 const MAX_SWEEPS: usize = 8;
 
+/// Maximum number of possible partitions of one domain that are compared; in a domain with more of
+/// them, groups are added several at a time.
+const MAX_CANDIDATES: usize = 1_024;
+
+/// Maximum number of combinations of two domains that are compared.
+const MAX_COMBINATIONS: usize = 256 * 1_024;
+
 /// Least gain in utility for which the choice for a domain is changed.
 const MIN_GAIN: f64 = 1e-9;
 
@@ -83,7 +90,10 @@
         if !has_improved {
             // A change that is worth while only together with one of another domain.
             for domain in 1..candidates.len() {
-                has_improved |= solution.improve(&[domain - 1, domain]);
+                let combinations = candidates[domain - 1].len() * candidates[domain].len();
+                if combinations <= MAX_COMBINATIONS {
+                    has_improved |= solution.improve(&[domain - 1, domain]);
+                }
             }
         }
         if !has_improved {
@@ -222,27 +232,48 @@
 
 /// Partitions of a domain that contain its groups; the first one adds none.
 fn candidates(profiles: &ModelProfiles, domain: &DomainState, load_cost: f64) -> Vec<Candidate> {
+    // Another writer may list any number of instances in one domain.
+    let mut step = 1;
+    let partitions = loop {
+        match possible_partitions(profiles, domain, step) {
+            Some(partitions) => break partitions,
+            None => step *= 2,
+        }
+    };
+    let candidate = |partition: Partition| {
+        let supply = expected_supply(profiles, domain.instances, &partition);
+        let cost = load_cost * missing_weights(profiles, domain, &partition) as f64;
+        Candidate { partition, supply, cost }
+    };
+    partitions.into_iter().map(candidate).collect()
+}
+
+/// Partitions of a domain that contain its groups and a multiple of `step` further ones of each model;
+/// `None` if there are too many.
+fn possible_partitions(
+    profiles: &ModelProfiles,
+    domain: &DomainState,
+    step: usize,
+) -> Option<Vec<Partition>> {
     let mut partitions = vec![domain.groups.clone()];
     for (model, profile) in profiles {
         let mut larger = Vec::new();
         for partition in &partitions {
             let mut next = partition.clone();
             loop {
-                *next.entry(model.clone()).or_default() += 1;
+                *next.entry(model.clone()).or_default() += step;
                 if profile.group_size == 0 || members(profiles, &next) > domain.instances {
                     break;
                 }
+                if partitions.len() + larger.len() >= MAX_CANDIDATES {
+                    return None;
+                }
                 larger.push(next.clone());
             }
         }
         partitions.extend(larger);
     }
-    let candidate = |partition: Partition| {
-        let supply = expected_supply(profiles, domain.instances, &partition);
-        let cost = load_cost * missing_weights(profiles, domain, &partition) as f64;
-        Candidate { partition, supply, cost }
-    };
-    partitions.into_iter().map(candidate).collect()
+    Some(partitions)
 }
 
 /// Number of instances that have to load weights for the groups that a domain doesn't have yet.
