Bear numbers at the end of their range

Ruled out by reading, with all cases of `Foreign::Numbers` passing before: `born`, `rank`, `sequence` and revisions are only compared, and a cold start ends at 3,600 s.

--- a/crates/groups/src/formation/loads.rs
+++ b/crates/groups/src/formation/loads.rs
@@ -173,10 +173,11 @@
 
     fn can_start(&self) -> bool {
         if !self.has_traffic {
-            return self.running.len() < self.limits.concurrent + EXTRA_BEFORE_TRAFFIC;
+            return self.running.len()
+                < self.limits.concurrent.saturating_add(EXTRA_BEFORE_TRAFFIC);
         }
         let allowed = self.limits.per_second * RATE_WINDOW.as_secs_f64();
-        self.running.len() < self.limits.concurrent + EXTRA_CONCURRENT
+        self.running.len() < self.limits.concurrent.saturating_add(EXTRA_CONCURRENT)
             && self.recent_starts.len() as f64 + 1.0 <= allowed
     }
 
--- a/crates/serving/src/attempts.rs
+++ b/crates/serving/src/attempts.rs
@@ -119,7 +119,11 @@
 
     /// Whether the limits on executions and sends allow another send.
     pub fn can_send_again(&self) -> bool {
-        self.executions() < self.max_executions && self.sends < self.max_executions + EXTRA_SENDS
+        self.executions() < self.max_executions && self.sends < self.max_sends()
+    }
+
+    fn max_sends(&self) -> u32 {
+        self.max_executions.saturating_add(EXTRA_SENDS)
     }
 
     fn executions(&self) -> u32 {
@@ -132,7 +136,7 @@
         let running = u32::from(self.pending.as_ref().is_some_and(is_running));
         self.retryable
             && self.executions() + running < self.max_executions
-            && self.sends < self.max_executions + EXTRA_SENDS
+            && self.sends < self.max_sends()
     }
 
     /// Counts an execution that may have started at an upstream; it counts once for each upstream.
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -56,7 +56,7 @@
     /// Picks a service by weight; `draw` must be uniform over all of `u32`.
     pub fn select_service(&self, draw: u32) -> Option<&ServiceId> {
         let total: u64 = self.services.iter().map(|(_, w)| u64::from(*w)).sum();
-        let mut position = (u64::from(draw) * total) >> u32::BITS;
+        let mut position = ((u128::from(draw) * u128::from(total)) >> u32::BITS) as u64;
         for (service, weight) in &self.services {
             if position < u64::from(*weight) {
                 return Some(service);
--- a/crates/serving/src/load/room.rs
+++ b/crates/serving/src/load/room.rs
@@ -25,7 +25,7 @@
             let reserved_slots = (f64::from(bound) * reserved_share) as u32;
             let local = self.by_key.get(&upstream.key).map_or(0, |l| l.local_in_flight);
             let in_flight = estimate.saturating_sub(pace.overdue).max(local);
-            let has_room = pace.sends_left > 0 && in_flight + reserved_slots < bound;
+            let has_room = pace.sends_left > 0 && in_flight.saturating_add(reserved_slots) < bound;
             return has_room.then_some(in_flight);
         }
         let unreported = self
@@ -35,7 +35,8 @@
         let peer_nodes = u32::try_from(self.peer_loads.len()).unwrap_or(u32::MAX);
         let in_flight = estimate.saturating_add(unreported.saturating_mul(peer_nodes));
         let reserved_slots = (f64::from(upstream.slots) * reserved_share).ceil() as u32;
-        let has_room = in_flight + reserved_slots < upstream.slots + MAX_EXCESS_REQUESTS;
+        let expected = in_flight.saturating_add(reserved_slots);
+        let has_room = expected < upstream.slots.saturating_add(MAX_EXCESS_REQUESTS);
         has_room.then_some(in_flight)
     }
 }
