Keep strange addresses on the list of nodes from delaying heartbeats

Every address on the list of nodes got heartbeats in turn, and the time after which a node counts as dead followed from the length of the list. Beside 5,000 addresses that another writer registered, a dead node (the leader, for one) counted as alive for 187.65 s instead of 1 s, and loads and crashes reached the other nodes as rarely.

Ruled out: ignoring addresses that have said nothing. One may be that of a node that was cut off from this one since its start.

An address that has sent no heartbeat 30 s after it was registered gets one now and then (one address in every fourth interval of 50 ms, all in turn) and does not count for the length of a round; with its first heartbeat it takes part again. The shares of rate limits still count all registered addresses, since a node that is cut off may use its share.

--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -53,6 +53,14 @@
     HEARTBEAT_INTERVAL * intervals.unwrap_or(u32::MAX)
 }
 
+/// Time after which a registered address that has sent no heartbeat is no longer taken for a node
+/// that is about to start: another writer may have registered it, thousands of them.
+const SILENT_AFTER: Duration = Duration::from_secs(30);
+
+/// Number of batches of heartbeats with one to a silent address; a node that was cut off from this
+/// one from the beginning gets in touch by them.
+const BATCHES_PER_SILENT_ADDRESS: u32 = 4;
+
 /// Rendezvous hashing key that ranks nodes for leadership.
 const LEADER_KEY: &str = "groups";
 
@@ -81,6 +89,10 @@
 pub struct PeerTable {
     peers: BTreeMap<NodeId, Peer>,
     registered: BTreeMap<Address, Instant>,
+    /// Registered addresses that have sent no heartbeat for [`SILENT_AFTER`].
+    silent: BTreeSet<Address>,
+    last_silent: Option<Address>,
+    batches: u32,
     last_addressed: Option<Address>,
     last_leader_addressed: Option<Address>,
 }
@@ -119,6 +131,7 @@
             status,
             candidate: previous.and_then(|p| p.candidate.clone()),
         };
+        self.silent.remove(address);
         self.peers.insert(node.clone(), peer);
     }
 
@@ -137,15 +150,23 @@
 
     /// Replaces the addresses of the platform's list of nodes.
     pub fn set_registered(&mut self, now: Instant, addresses: Vec<Address>) {
-        self.registered.retain(|address, _| addresses.contains(address));
+        let listed: BTreeSet<&Address> = addresses.iter().collect();
+        self.registered.retain(|address, _| listed.contains(address));
         for address in addresses {
             self.registered.entry(address).or_insert(now);
         }
+        let known: BTreeSet<&Address> = self.peers.values().map(|p| &p.address).collect();
+        let is_silent = |(address, since): &(&Address, &Instant)| {
+            now >= **since + SILENT_AFTER && !known.contains(address)
+        };
+        let silent = self.registered.iter().filter(is_silent);
+        self.silent = silent.map(|(address, _)| address.clone()).collect();
     }
 
-    /// Addresses of all known nodes except this one.
+    /// Addresses of all known nodes except this one and silent ones.
     pub fn heartbeat_addresses(&self, own: &Address) -> Vec<Address> {
-        let mut all: Vec<Address> = self.registered.keys().cloned().collect();
+        let registered = self.registered.keys().filter(|address| !self.silent.contains(*address));
+        let mut all: Vec<Address> = registered.cloned().collect();
         all.extend(self.peers.values().map(|p| p.address.clone()));
         all.sort_unstable();
         all.dedup();
@@ -167,14 +188,32 @@
         }
         addresses.truncate(batch_size);
         self.last_addressed = addresses.last().cloned();
+        addresses.extend(self.next_silent(own));
         HeartbeatBatch { addresses, starts_round }
     }
 
+    /// Silent address that gets a heartbeat now, if any; all of them get one in turn.
+    fn next_silent(&mut self, own: &Address) -> Option<Address> {
+        self.batches = self.batches.wrapping_add(1);
+        if !self.batches.is_multiple_of(BATCHES_PER_SILENT_ADDRESS) {
+            return None;
+        }
+        let is_later = |a: &&Address| self.last_silent.as_ref().is_none_or(|last| *a > last);
+        let next = self.silent.iter().find(is_later).or(self.silent.first());
+        self.last_silent = next.cloned();
+        self.last_silent.clone().filter(|address| address != own)
+    }
+
+    /// Number of registered nodes that are not silent.
+    fn expected_count(&self) -> usize {
+        self.registered.len() - self.silent.len()
+    }
+
     /// Peers that may lead, to which a node that may lead too sends further heartbeats, in turn.
     ///
     /// In a large cluster, the death of the leader would otherwise be noticed late.
     pub fn next_leader_batch(&mut self, now: Instant) -> Vec<Address> {
-        if self.registered.len() <= LARGE_CLUSTER {
+        if self.expected_count() <= LARGE_CLUSTER {
             return Vec::new();
         }
         let may_lead = |p: &&Peer| p.status.eligible && self.is_alive(now, p);
@@ -219,7 +258,7 @@
 
     /// Time without a heartbeat after which a node counts as dead, unless it sends them frequently.
     pub fn heartbeat_timeout(&self) -> Duration {
-        let round = heartbeat_round(self.registered.len().max(self.peers.len()));
+        let round = heartbeat_round(self.expected_count().max(self.peers.len()));
         MIN_HEARTBEAT_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS)
     }
 
