Test that a dropped tunnel is freed while its instance hangs

The instance in the tests of drops wrote, so they passed without the watch for resets at the peer (trial with it taken out: 35 of 35 passed). Two more tests have an instance that neither reads nor writes; with the watch taken out, both fail. The test of stalled tunnels also counts connections: without the larger window of connections the client passed it by opening new ones, and now it fails. 37 tests pass.

--- a/crates/protocol/tests/tunnel/bounds.rs
+++ b/crates/protocol/tests/tunnel/bounds.rs
@@ -85,15 +85,16 @@
     let pipes = Arc::new(Pipes::default());
     let (peer, client) = (peer_with(pipes.clone(), 64).await, client());
     let address = "127.0.0.1:1".to_owned();
+    let path = Path::to(peer.address()).await;
     let mut stalled = Vec::new();
     for _ in 0..32 {
-        let mut stream = client.open(peer.address(), &target(&address)).await.unwrap();
+        let mut stream = client.open(&path.address, &target(&address)).await.unwrap();
         let instance = pipes.0.lock().unwrap().pop().unwrap();
         let filled = timeout(Duration::from_millis(50), stream.write_all(&[0; 512 * 1024])).await;
         assert!(filled.is_err());
         stalled.push((stream, instance));
     }
-    let mut other = client.open(peer.address(), &target(&address)).await.unwrap();
+    let mut other = client.open(&path.address, &target(&address)).await.unwrap();
     let mut instance = pipes.0.lock().unwrap().pop().unwrap();
     let reading = tokio::spawn(async move {
         instance.read_exact(&mut vec![0; 512 * 1024]).await.unwrap();
@@ -101,6 +102,7 @@
     });
     within(other.write_all(&vec![0; 512 * 1024])).await.unwrap();
     within(reading).await.unwrap();
+    assert_eq!(path.connections.load(Ordering::SeqCst), 1);
 }
 
 #[rstest]
--- a/crates/protocol/tests/tunnel/fidelity.rs
+++ b/crates/protocol/tests/tunnel/fidelity.rs
@@ -7,7 +7,7 @@
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _, split},
         runtime::Runtime,
-        time::sleep,
+        time::{sleep, timeout},
     },
     turmerictack_protocol::tunnel::{TunnelClient as _, TunnelTarget},
 };
@@ -170,7 +170,7 @@
         assert_eq!(within(end.read(&mut [0; 16])).await.unwrap(), 0);
     }
     let unread = vec![0; unread_bytes];
-    let writing = tokio::time::timeout(Duration::from_millis(300), stream.write_all(&unread));
+    let writing = timeout(Duration::from_millis(300), stream.write_all(&unread));
     assert_eq!(writing.await.is_err(), unread_bytes > 0);
     drop(stream);
     // The instance only writes: its connection fails once the peer has closed it.
@@ -182,6 +182,34 @@
     within(writes).await;
 }
 
+/// The instance neither reads nor writes, so that only the reset tells the peer of the drop.
+#[rstest]
+#[case::after_its_end(0)]
+#[case::with_unread_bytes(8 * 1024 * 1024)]
+#[tokio::test]
+async fn drop_of_the_client_frees_the_tunnel_to_a_hung_instance(#[case] unread_bytes: usize) {
+    let peer = peer(1).await;
+    let (client, (listener, address)) = (client(), instance().await);
+    let mut stream = client.open(peer.address(), &target(&address)).await.unwrap();
+    let (mut end, _) = within(listener.accept()).await.unwrap();
+    if unread_bytes == 0 {
+        stream.shutdown().await.unwrap();
+        assert_eq!(within(end.read(&mut [0; 16])).await.unwrap(), 0);
+    } else {
+        let unread = vec![0; unread_bytes];
+        let writing = timeout(Duration::from_millis(300), stream.write_all(&unread));
+        assert!(writing.await.is_err());
+    }
+    drop(stream);
+    let reopening = async {
+        while client.open(peer.address(), &target(&address)).await.is_err() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    within(reopening).await;
+    let _ = within(end.read_to_end(&mut Vec::new())).await;
+}
+
 #[rstest]
 #[tokio::test]
 async fn drop_during_a_response_ends_the_connection_to_the_instance() {
@@ -199,7 +227,7 @@
     let (client, echo) = (client(), echo_instance().await);
     let hanging = TunnelTarget { instance: "hang".to_owned(), address: echo.clone() };
     let opening = client.open(peer.address(), &hanging);
-    assert!(tokio::time::timeout(Duration::from_millis(200), opening).await.is_err());
+    assert!(timeout(Duration::from_millis(200), opening).await.is_err());
     let reopening = async {
         while client.open(peer.address(), &target(&echo)).await.is_err() {
             sleep(Duration::from_millis(10)).await;
