Drop tunnels in bursts in the test of dropped tunnels

The test dropped 1500 tunnels one by one; now it drops ten bursts of 150 that have bytes on their way.

--- a/crates/protocol/tests/tunnel/bounds.rs
+++ b/crates/protocol/tests/tunnel/bounds.rs
@@ -185,9 +185,24 @@
     let path = Path::to(peer.address()).await;
     let (client, target) = (client(), target(&echo));
     let mut kept = client.open(&path.address, &target).await.unwrap();
-    for _ in 0..1500 {
-        let mut stream = within(client.open(&path.address, &target)).await.unwrap();
-        stream.write_all(&[1; 4096]).await.unwrap();
+    for _ in 0..10 {
+        let mut dropped = Vec::new();
+        for _ in 0..150 {
+            let mut stream = within(client.open(&path.address, &target)).await.unwrap();
+            stream.write_all(&[1; 32 * 1024]).await.unwrap();
+            dropped.push(stream);
+        }
+        // Each of them still gets most of its echo.
+        for stream in &mut dropped {
+            within(stream.read_exact(&mut [0; 1])).await.unwrap();
+        }
+        drop(dropped);
+        let is_freed = async {
+            while client.open(&path.address, &target).await.is_err() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        within(is_freed).await;
     }
     kept.write_all(b"ping").await.unwrap();
     within(kept.read_exact(&mut [0; 4])).await.unwrap();
