Dial upstreams through a peer where the direct path is lost

Cause: a node that loses its path to the upstreams, while its peers reach them, has no other way to them.

The node keeps all decisions; only its connections are opened through a peer. A path counts as lost only if a direct dial failed and a peer's dial to the same instance opened: instances that are gone, silent for a while, or slow to answer change nothing. Heartbeats (version 8) say which nodes lack paths, so that they are not asked, and which leave the lead of the groups to others because they are cut off.

--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -32,6 +32,8 @@
     Crashes,
     /// Retries sent in the last seconds, which the retry budget limits.
     RetryBudget,
+    /// Direct paths to instances, as the dials of this node found them.
+    Paths,
     /// Counters of the error budget burn report.
     Burn,
     /// Lifecycle state of the node, such as ready or draining.
--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -9,7 +9,7 @@
 };
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-pub const HEARTBEAT_VERSION: u16 = 7;
+pub const HEARTBEAT_VERSION: u16 = 8;
 
 /// Hash of an upstream's name, which keeps a heartbeat that lists dozens of upstreams small.
 pub type UpstreamKey = u32;
@@ -129,4 +129,8 @@
     pub cleared_requests: Vec<PromptPartId>,
     /// Upstreams that the sender paces, or did until lately.
     pub paces: Vec<HeartbeatPace>,
+    /// Whether most direct dials of the sender fail, so that it can't reach instances for others.
+    pub lacks_paths: bool,
+    /// Whether the sender leaves leadership to others, because it is isolated or was until lately.
+    pub defers_leadership: bool,
 }
--- a/crates/serving/src/group_controller/mod.rs
+++ b/crates/serving/src/group_controller/mod.rs
@@ -141,7 +141,8 @@
         let eligible = self.tables.has_own_fresh_view(now)
             && !self.tables.directory.lock().evacuations().is_unread()
             && !self.tables.lifecycle.lock().draining;
-        let own = LeaderStatus { eligible, is_leader: was_leader };
+        let defers = self.tables.paths.lock().defers_leadership();
+        let own = LeaderStatus { eligible, is_leader: was_leader, defers };
         self.tables.peers.lock().should_lead(now, &self.identity.address, own)
     }
 
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         interfaces::{NodeList, PeerTransport},
-        membership::{HEARTBEAT_INTERVAL, LeaderStatus},
+        membership::{HEARTBEAT_INTERVAL, LeaderStatus, PeerReach},
         relay::source::RelayCandidate,
         tables::Tables,
     },
@@ -148,6 +148,10 @@
             let lifecycle = self.tables.lifecycle.lock();
             (lifecycle.draining, lifecycle.is_leader)
         };
+        let (lacks_paths, defers_leadership) = {
+            let paths = self.tables.paths.lock();
+            (paths.lacks_paths(now), paths.defers_leadership())
+        };
         Heartbeat {
             version: HEARTBEAT_VERSION,
             node: self.identity.node.clone(),
@@ -166,6 +170,8 @@
             request_crashes: updates.requests.crashes.iter().map(encode_crash).collect(),
             cleared_requests: updates.requests.cleared.clone(),
             paces,
+            lacks_paths,
+            defers_leadership,
         }
     }
 
@@ -187,7 +193,12 @@
         }
         let now = self.clock.now();
         let eligible = heartbeat.has_fresh_view && !heartbeat.leaving;
-        let status = LeaderStatus { eligible, is_leader: heartbeat.is_leader };
+        let status = LeaderStatus {
+            eligible,
+            is_leader: heartbeat.is_leader,
+            defers: heartbeat.defers_leadership,
+        };
+        let reach = PeerReach { is_leaving: heartbeat.leaving, lacks_paths: heartbeat.lacks_paths };
         let candidate = RelayCandidate {
             address: heartbeat.address.clone(),
             data_centre: heartbeat.data_centre,
@@ -203,6 +214,7 @@
                 status,
             );
             peers.record_candidate(&heartbeat.node, candidate);
+            peers.record_reach(&heartbeat.node, reach);
         }
         {
             let mut balancer = self.tables.balancer.lock();
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         client_gate::NoRoom,
+        paths::PathLoss,
         relay::{ChangeSet, FactKind, RelayError},
         request::{ResponseHead, UpstreamRequest},
     },
@@ -10,7 +11,10 @@
     bytes::Bytes,
     displaydoc::Display,
     std::{io, time::Duration},
-    tokio::io::{AsyncRead, AsyncWrite},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        time::timeout,
+    },
     turmerictack_groups::{formation::Order, plan::Plan},
     turmerictack_model::{
         ids::{Address, Era, EventPosition, InstanceId},
@@ -19,6 +23,9 @@
     },
 };
 
+/// Time allowed for a dial that checks whether an instance refuses connections.
+pub(crate) const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Failure of an upstream to respond to a request.
 #[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
 pub enum SendError {
@@ -160,6 +167,75 @@
         instance: &InstanceId,
         address: &Address,
     ) -> io::Result<Box<dyn ByteStream>>;
+
+    /// Opens a connection like [`Self::dial`], and says by which path.
+    ///
+    /// # Errors
+    /// Those of [`Self::dial`].
+    async fn dial_path(
+        &self,
+        instance: &InstanceId,
+        address: &Address,
+    ) -> io::Result<(Box<dyn ByteStream>, StreamPath)> {
+        Ok((self.dial(instance, address).await?, StreamPath::Direct))
+    }
+
+    /// Whether the address refuses connections, as it does after the process there has crashed or,
+    /// in a planned shutdown, has closed its listener.
+    async fn refuses_connections(&self, instance: &InstanceId, address: &Address) -> bool {
+        let dialled = timeout(REFUSAL_TIMEOUT, self.dial(instance, address)).await;
+        matches!(dialled, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
+/// Path of a connection to an instance.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StreamPath {
+    /// direct
+    Direct,
+    /// tunnel
+    Tunnel,
+}
+
+/// Failure of a peer to open a connection to an instance for this node.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, derive_more::Error)]
+pub enum TunnelError {
+    /// peer_unreachable
+    PeerUnreachable,
+    /// busy
+    Busy,
+    /// unknown_instance
+    UnknownInstance,
+    /// refused
+    Refused,
+    /// unreachable
+    Unreachable,
+}
+
+/// Opens connections to instances through peers.
+#[async_trait]
+pub trait TunnelDialer: Send + Sync {
+    /// Opens a connection to an instance through the node at `peer`, which dials it directly; no byte
+    /// is sent on it.
+    ///
+    /// # Errors
+    /// Any [`TunnelError`]; [`TunnelError::PeerUnreachable`] if the peer does not respond in time.
+    async fn dial_through(
+        &self,
+        peer: &Address,
+        instance: &InstanceId,
+        address: &Address,
+    ) -> Result<Box<dyn ByteStream>, TunnelError>;
+}
+
+/// Learns of lost and restored direct paths, for example to close connections.
+pub trait PathObserver: Send + Sync {
+    /// Called when the direct path to an instance was lost; if it was refused, open connections may
+    /// live on.
+    fn path_lost(&self, instance: &InstanceId, how: PathLoss);
+
+    /// Called when the direct path to an instance is back, so that tunnels are needless.
+    fn path_restored(&self, instance: &InstanceId);
 }
 
 /// Client that sends requests to upstreams.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,7 +4,7 @@
 //! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
 //! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, within the
 //! [`allowance`] of the upstream and the [`pace`] of one that has just returned, [`attempts`] decides
-//! on retries, and [`client_memory`] on what is held for clients, for which [`client_gate`] keeps the
+//! on retries, [`paths`] how to reach an upstream whose direct path is lost, and [`client_memory`] on what is held for clients, for which [`client_gate`] keeps the
 //! account. [`proxy::Proxy`] takes a request through them. Front ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
 //! no message encodings, and no sockets but those of [`client_listener`].
 
@@ -29,6 +29,7 @@
 pub mod load;
 pub mod membership;
 pub mod pace;
+pub mod paths;
 pub mod proxy;
 pub mod queue;
 pub mod rejection;
--- a/crates/serving/src/load/failures.rs
+++ b/crates/serving/src/load/failures.rs
@@ -1,6 +1,11 @@
 //! Share of the requests to an upstream that failed lately.
 
-use std::time::{Duration, Instant};
+use {
+    super::LoadTracker,
+    crate::flap_damping::FlapDamping,
+    std::time::{Duration, Instant},
+    turmerictack_protocol::heartbeat::UpstreamKey,
+};
 
 /// Weight of the latest result in the moving average.
 const EWMA_WEIGHT: f64 = 0.1;
@@ -42,3 +47,14 @@
         self.rate * 0.5_f64.powf(idle.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 }
+
+impl LoadTracker {
+    /// Clears the cooldown and the failure rate of an upstream that was not the cause of them.
+    pub(crate) fn forgive_failures(&mut self, now: Instant, key: UpstreamKey) {
+        if let Some(load) = self.by_key.get_mut(&key) {
+            load.cooldown_until = None;
+            load.flaps = FlapDamping::default();
+            load.failures = FailureRate::new(now);
+        }
+    }
+}
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -1,7 +1,7 @@
 //! Liveness of nodes, and election of the node that leads group control.
 
 use {
-    crate::relay::source::RelayCandidate,
+    crate::{paths::peers::TunnelPeer, relay::source::RelayCandidate},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
@@ -73,6 +73,16 @@
     last_gap: Option<Duration>,
     status: LeaderStatus,
     candidate: Option<RelayCandidate>,
+    reach: PeerReach,
+}
+
+/// Whether a peer can be asked to reach instances for this node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerReach {
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
+    /// Whether most of its own dials fail.
+    pub lacks_paths: bool,
 }
 
 /// What a node announces about its leadership.
@@ -82,6 +92,8 @@
     pub eligible: bool,
     /// Whether it is the leader.
     pub is_leader: bool,
+    /// Whether it leads only if all others that may lead defer too, because it is cut off.
+    pub defers: bool,
 }
 
 /// Peers known from heartbeats, and addresses from the platform's list of nodes.
@@ -130,6 +142,7 @@
             last_gap: previous.map(|p| now.saturating_duration_since(p.last_heartbeat)),
             status,
             candidate: previous.and_then(|p| p.candidate.clone()),
+            reach: previous.map(|p| p.reach).unwrap_or_default(),
         };
         self.silent.remove(address);
         self.peers.insert(node.clone(), peer);
@@ -142,6 +155,23 @@
         }
     }
 
+    /// Records what a peer says about its paths to instances.
+    pub fn record_reach(&mut self, node: &NodeId, reach: PeerReach) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.reach = reach;
+        }
+    }
+
+    /// Live peers that can be asked to reach instances for this node.
+    pub fn tunnel_peers(&self, now: Instant) -> impl Iterator<Item = TunnelPeer<'_>> {
+        let is_sound = |p: &&Peer| !p.reach.is_leaving && !p.reach.lacks_paths;
+        let sound = self.peers.values().filter(is_sound).filter(move |p| self.is_alive(now, p));
+        sound.filter_map(|p| p.candidate.as_ref()).map(|candidate| TunnelPeer {
+            address: &candidate.address,
+            data_centre: &candidate.data_centre,
+        })
+    }
+
     /// Live peers that may watch the store for others.
     pub fn relay_candidates(&self, now: Instant) -> Vec<RelayCandidate> {
         let alive = self.peers.values().filter(|p| self.is_alive(now, p));
@@ -266,7 +296,7 @@
     ///
     /// A leader stays in place while it is eligible, because a successor would have to wait until
     /// it has learned what the previous leader knew. Of several leaders only the one that ranks
-    /// first stays.
+    /// first stays. A node that is cut off leaves the lead to one that isn't, if there is any.
     pub fn should_lead(&self, now: Instant, address: &Address, own: LeaderStatus) -> bool {
         if !own.eligible || !self.registered.contains_key(address) {
             return false;
@@ -277,6 +307,12 @@
             .filter(|p| p.status.eligible && self.is_alive(now, p))
             .filter(|p| p.address != *address)
             .collect();
+        let has_sound = candidates.iter().any(|p| !p.status.defers);
+        if own.defers && has_sound {
+            return false;
+        }
+        let candidates: Vec<&Peer> =
+            candidates.into_iter().filter(|p| own.defers || !p.status.defers).collect();
         let leaders = candidates.iter().filter(|p| p.status.is_leader).map(|p| p.address.as_str());
         if own.is_leader {
             return ranks_first(address, leaders);
--- a/crates/serving/src/tables.rs
+++ b/crates/serving/src/tables.rs
@@ -10,6 +10,7 @@
         load::{LoadTracker, Selection, UpstreamOutcome},
         membership::PeerTable,
         pace::update_paces,
+        paths::PathTable,
         queue::{Admission, Queues, SchedulingParams, Ticket},
         relay::{FactKind, board::FactBoard},
         response_time::{ResponseDurations, ResponseTimes},
@@ -96,6 +97,8 @@
     pub crashes: Table<CrashRecords>,
     /// Budget for retries.
     pub retry_budget: Table<RetryBudget>,
+    /// Direct paths to instances.
+    pub paths: Table<PathTable>,
     /// State of the node itself.
     pub lifecycle: Table<Lifecycle>,
     /// Notifies waiting requests when a shutdown begins.
@@ -137,6 +140,7 @@
             in_flight: Table::new(LockRank::Calls, RequestsInFlight::default()),
             crashes: Table::new(LockRank::Crashes, CrashRecords::default()),
             retry_budget: Table::new(LockRank::RetryBudget, RetryBudget::new(retry_budget)),
+            paths: Table::new(LockRank::Paths, PathTable::default()),
             lifecycle: Table::new(LockRank::Lifecycle, Lifecycle::default()),
             shutdown_began: Notify::new(),
             facts: FactBoard::default(),
@@ -175,6 +179,7 @@
         self.update_rate_shares(now, heartbeat_timeout);
         self.begin_pace_interval(now, heartbeat_timeout);
         self.update_crashes(|crashes| crashes.expire(now));
+        self.expire_paths(now);
     }
 
     /// Accepted configuration, if any.
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -35,6 +35,7 @@
 
 pub mod cold_cluster;
 pub mod limited_cluster;
+pub mod path_network;
 pub mod returning_cluster;
 
 pub const HOST: &str = "api.example";
--- a/crates/serving/tests/decisions.rs
+++ b/crates/serving/tests/decisions.rs
@@ -266,13 +266,13 @@
         let mut peers = PeerTable::default();
         peers.set_registered(now, addresses.map(str::to_owned).to_vec());
         for other in addresses.iter().filter(|a| **a != own) {
-            let status = LeaderStatus { eligible: true, is_leader: false };
+            let status = LeaderStatus { eligible: true, ..LeaderStatus::default() };
             peers.record_heartbeat(now, &format!("node {other}"), &(*other).to_owned(), 1, status);
         }
         peers
     };
     let leaders = |at: Instant, eligible: &dyn Fn(&str) -> bool| -> Vec<&str> {
-        let own = |own: &str| LeaderStatus { eligible: eligible(own), is_leader: false };
+        let own = |own: &str| LeaderStatus { eligible: eligible(own), ..LeaderStatus::default() };
         let should_lead =
             |node: &&str| peer_table_of(node).should_lead(at, &(*node).to_owned(), own(node));
         addresses.iter().copied().filter(should_lead).collect()
@@ -300,7 +300,7 @@
 #[rstest]
 fn leader_stays_when_another_node_starts() {
     let now = Instant::now();
-    let status = |is_leader| LeaderStatus { eligible: true, is_leader };
+    let status = |is_leader| LeaderStatus { eligible: true, is_leader, defers: false };
     let nodes = ["10.0.0.1:1", "10.0.0.2:1"];
     for leader in nodes {
         for newcomer in nodes.into_iter().filter(|n| *n != leader) {
@@ -311,7 +311,7 @@
             // The other node takes over once the leader is silent or can't read the store.
             let seen = peer_table(now, newcomer, &[(leader, status(true))]);
             assert!(seen.should_lead(now + ms(2_000), &newcomer.to_owned(), status(false)));
-            let ineligible = LeaderStatus { eligible: false, is_leader: true };
+            let ineligible = LeaderStatus { eligible: false, is_leader: true, defers: false };
             let seen = peer_table(now, newcomer, &[(leader, ineligible)]);
             assert!(seen.should_lead(now, &newcomer.to_owned(), status(false)));
         }
@@ -321,7 +321,7 @@
 #[rstest]
 fn one_of_two_leaders_steps_down() {
     let now = Instant::now();
-    let both = LeaderStatus { eligible: true, is_leader: true };
+    let both = LeaderStatus { eligible: true, is_leader: true, defers: false };
     let should_lead = |own: &str, other: &str| {
         peer_table(now, own, &[(other, both)]).should_lead(now, &own.to_owned(), both)
     };
--- a/crates/serving/tests/foreign_values.rs
+++ b/crates/serving/tests/foreign_values.rs
@@ -150,7 +150,7 @@
     assert!(Attempts::new(true, u32::MAX).can_fail_over());
 }
 
-const ALIVE: LeaderStatus = LeaderStatus { eligible: true, is_leader: false };
+const ALIVE: LeaderStatus = LeaderStatus { eligible: true, is_leader: false, defers: false };
 
 /// Node `OWN` of three that all know each other, after `time` beside strange addresses.
 fn table_after(time: Duration, strangers: usize) -> (PeerTable, Instant) {
--- a/crates/serving/tests/heartbeats.rs
+++ b/crates/serving/tests/heartbeats.rs
@@ -102,7 +102,7 @@
     let mut now = Instant::now();
     table.set_registered(now, addresses(nodes));
     let round = Duration::from_millis(50) * nodes.div_ceil(8) as u32;
-    let status = LeaderStatus { eligible: true, is_leader: false };
+    let status = LeaderStatus { eligible: true, ..LeaderStatus::default() };
     for _ in 0..3 {
         table.record_heartbeat(now, &"peer".to_owned(), &"10.0.0.1:1".to_owned(), 1, status);
         now += round;
@@ -144,7 +144,8 @@
     const MAY_LEAD: usize = 10;
     let all = addresses(NODES);
     let start = Instant::now();
-    let eligible = |at: usize| LeaderStatus { eligible: at < MAY_LEAD, is_leader: at == 0 };
+    let eligible =
+        |at: usize| LeaderStatus { eligible: at < MAY_LEAD, is_leader: at == 0, defers: false };
     let mut tables: Vec<PeerTable> = (0..MAY_LEAD)
         .map(|_| {
             let mut table = PeerTable::default();
@@ -169,13 +170,13 @@
                 tables[other].record_heartbeat(now, &format!("n{at}"), &all[at], 1, eligible(at));
             }
         }
-        let own = LeaderStatus { eligible: true, is_leader: false };
+        let own = LeaderStatus { eligible: true, ..LeaderStatus::default() };
         let successors = (1..MAY_LEAD).filter(|at| tables[*at].should_lead(now, &all[*at], own));
         if now < died_at {
             assert_eq!(successors.count(), 0, "after {:?}", now - start);
         }
     }
-    let own = LeaderStatus { eligible: true, is_leader: false };
+    let own = LeaderStatus { eligible: true, ..LeaderStatus::default() };
     let successors = (1..MAY_LEAD).filter(|at| tables[*at].should_lead(now, &all[*at], own));
     assert_eq!(successors.count(), 1);
 }
--- a/crates/serving/tests/lost_peers.rs
+++ b/crates/serving/tests/lost_peers.rs
@@ -87,6 +87,8 @@
         request_crashes: Vec::new(),
         cleared_requests: Vec::new(),
         paces: Vec::new(),
+        lacks_paths: false,
+        defers_leadership: false,
     }
 }
 
