Take a refusal for a crash only if peers are refused too

Cause: a node that has lost its paths took each refused connection for a crash of the upstream.

Whether an upstream refuses connections is asked with its id, so that a dialer which knows of paths can answer: up to three peers must be refused too. If one gets through, that is evidence of a lost path. If none can say anything, the refusal counts as before, unless the node is isolated.

--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -249,9 +249,9 @@
         request: UpstreamRequest,
     ) -> SendReport;
 
-    /// Whether the address refuses connections, as it does after the process there has crashed or,
-    /// in a planned shutdown, has closed its listener.
-    async fn refuses_connections(&self, address: &Address) -> bool;
+    /// Whether the instance refuses connections, as it does after its process has crashed or, in a
+    /// planned shutdown, has closed its listener; not if only this node's path to it is lost.
+    async fn refuses_connections(&self, instance: &InstanceId, address: &Address) -> bool;
 
     /// Closes the idle connections to an instance that is gone or unreachable.
     fn close_idle_connections(&self, instance: &InstanceId);
--- a/crates/serving/src/proxy/crashes.rs
+++ b/crates/serving/src/proxy/crashes.rs
@@ -101,7 +101,7 @@
     }
 
     async fn detect_crash(&self, run: &UpstreamRun, address: &Address) -> bool {
-        let has_crashed = self.upstream_client.refuses_connections(address).await;
+        let has_crashed = self.upstream_client.refuses_connections(&run.upstream, address).await;
         if has_crashed {
             logs::event("upstream_crashed")
                 .with("upstream", &run.upstream)
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -21,7 +21,7 @@
         config::{Account, Config, EngineProfile, Limits, RetryPolicy, Route, Service},
         directory::{EngineState, Instance},
         interfaces::{
-            EventChunk, NodeList, ResponseBody, SendError, SendReport, UpstreamClient,
+            Dialer, EventChunk, NodeList, ResponseBody, SendError, SendReport, UpstreamClient,
             UpstreamNotice, UpstreamResponse,
         },
         proxy::Proxy,
@@ -88,6 +88,8 @@
     pub crashing_text: Mutex<Option<&'static str>>,
     /// Addresses of upstreams that have crashed, and so refuse connections.
     pub crashed: Mutex<BTreeSet<Address>>,
+    /// Dials to see whether an upstream refuses connections, instead of `crashed`.
+    pub dialer: Mutex<Option<Arc<dyn Dialer>>>,
 }
 
 impl ScriptedUpstreams {
@@ -249,7 +251,11 @@
         SendReport { result: Ok(response), notice }
     }
 
-    async fn refuses_connections(&self, address: &Address) -> bool {
+    async fn refuses_connections(&self, instance: &InstanceId, address: &Address) -> bool {
+        let dialer = self.dialer.lock().unwrap().clone();
+        if let Some(dialer) = dialer {
+            return dialer.refuses_connections(instance, address).await;
+        }
         self.crashed.lock().unwrap().remove(address)
     }
 
