Blame lost paths, not upstreams, for the failures of a cut node

Cause: a node counts connections that fail or break against the upstream: a cooldown of a second, and a failure rate that halves in 30 s. After a lost path it would keep away from sound upstreams, which it reaches through peers by then.

When a path is found lost, the cooldown and the failure rate of the instance are cleared at this node, and connections that break while the path is down count as inconclusive. Responses count as evidence of paths that are not in doubt, so that a node which serves from open connections isn't isolated by a few lost paths.

Each of the two tests fails without its half of the change.

--- a/crates/serving/src/load/mod.rs
+++ b/crates/serving/src/load/mod.rs
@@ -100,8 +100,10 @@
 pub enum UpstreamOutcome {
     /// The upstream responded.
     Success,
-    /// The upstream responded with an error, or the connection was lost.
+    /// The upstream responded with an error.
     Failure,
+    /// The connection was lost.
+    ConnectionLost,
     /// The upstream was unreachable or rejected the request; it gets no new ones for this long.
     Cooldown(Duration),
     /// The request was moved away because the upstream made no progress.
@@ -348,7 +350,9 @@
                 load.failures.record(now, false);
                 load.cooldown_until = None;
             }
-            UpstreamOutcome::Failure => load.failures.record(now, true),
+            UpstreamOutcome::Failure | UpstreamOutcome::ConnectionLost => {
+                load.failures.record(now, true);
+            }
             UpstreamOutcome::Cooldown(cooldown) => {
                 let cooldown = load.flaps.damped(now, cooldown);
                 load.cooldown_until = Some(now + cooldown);
--- a/crates/serving/src/load/paces.rs
+++ b/crates/serving/src/load/paces.rs
@@ -102,7 +102,9 @@
                 self.paces.record_rejection(now, key, in_flight);
             }
             UpstreamOutcome::Cooldown(_) => self.begin_pace(now, key, PaceReason::FailuresEnded),
-            UpstreamOutcome::Failure | UpstreamOutcome::Stalled => self.paces.record_late(now, key),
+            UpstreamOutcome::Failure
+            | UpstreamOutcome::ConnectionLost
+            | UpstreamOutcome::Stalled => self.paces.record_late(now, key),
             UpstreamOutcome::Success | UpstreamOutcome::Inconclusive => {}
         }
         self.paces.record_end(key);
--- a/crates/serving/src/paths/apply.rs
+++ b/crates/serving/src/paths/apply.rs
@@ -1,8 +1,8 @@
 //! Effects of lost paths on the other tables.
 
 use {
-    super::IsolationChange,
-    crate::{directory::upstream_key, tables::Tables},
+    super::{DirectPath, IsolationChange},
+    crate::{directory::upstream_key, load::UpstreamOutcome, tables::Tables},
     std::time::Instant,
     turmerictack_model::ids::InstanceId,
     turmerictack_telemetry::logs,
@@ -21,6 +21,21 @@
         }
     }
 
+    /// What the result of a request says about the health of its upstream, given its path.
+    ///
+    /// A connection that breaks while the direct path is down says nothing about the upstream.
+    pub(crate) fn outcome_on_path(
+        &self,
+        instance: &InstanceId,
+        outcome: UpstreamOutcome,
+    ) -> UpstreamOutcome {
+        let is_down = || matches!(self.paths.lock().state(instance), DirectPath::Down { .. });
+        match outcome {
+            UpstreamOutcome::ConnectionLost if is_down() => UpstreamOutcome::Inconclusive,
+            outcome => outcome,
+        }
+    }
+
     /// Clears the failures of an instance at this node, since it was the path that failed.
     pub(super) fn forgive_failures(&self, now: Instant, instance: &InstanceId) {
         self.balancer.lock().loads.forgive_failures(now, upstream_key(instance));
--- a/crates/serving/src/proxy/permit.rs
+++ b/crates/serving/src/proxy/permit.rs
@@ -52,6 +52,8 @@
         balancer.loads.record_response(now, self.upstream.key, elapsed, usual);
         balancer.response_times.record(&self.pool, elapsed);
         balancer.loads.record_prompt_read(self.upstream.key, unread_tokens);
+        drop(balancer);
+        self.tables.paths.lock().record_response(now, &self.upstream.instance);
     }
 
     /// Records the time from the permit to the end of the response.
@@ -78,10 +80,11 @@
     fn drop(&mut self) {
         self.set_waiting(true);
         let now = self.clock.now();
+        let outcome = self.tables.outcome_on_path(&self.upstream.instance, self.outcome);
         {
             let mut balancer = self.tables.balancer.lock();
             balancer.loads.record_prompt_read(self.upstream.key, self.unread_tokens);
-            balancer.loads.release(now, self.upstream.key, self.outcome);
+            balancer.loads.release(now, self.upstream.key, outcome);
         }
         self.tables.dispatch_waiting(now, &self.pool);
     }
--- a/crates/serving/src/proxy/send.rs
+++ b/crates/serving/src/proxy/send.rs
@@ -327,7 +327,7 @@
             UpstreamOutcome::Cooldown(UNREACHABLE_COOLDOWN)
         }
         SendError::Overloaded => UpstreamOutcome::Cooldown(OVERLOAD_COOLDOWN),
-        SendError::ConnectionLost => UpstreamOutcome::Failure,
+        SendError::ConnectionLost => UpstreamOutcome::ConnectionLost,
         SendError::Abandoned | SendError::InvalidResponse => UpstreamOutcome::Inconclusive,
     }
 }
--- a/crates/serving/tests/path_crashes.rs
+++ b/crates/serving/tests/path_crashes.rs
@@ -1,4 +1,4 @@
-//! What a cut node makes of its failures: no crashes.
+//! What a cut node makes of its failures: no crashes, and no failures of sound upstreams.
 
 #![allow(clippy::unwrap_used, reason = "a poisoned lock fails the test")]
 
@@ -13,9 +13,9 @@
     rstest::rstest,
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
-    turmerictack_model::clock::Clock as _,
+    turmerictack_model::{clock::Clock as _, ids::InstanceId},
     turmerictack_serving::{
-        directory::Instance,
+        directory::{Instance, Upstream},
         interfaces::SendError,
         proxy::Proxy,
         rejection::Reason,
@@ -66,6 +66,16 @@
             self.node.hear_sound(NODES);
         }
     }
+
+    /// Instances that are not chosen while others are healthy.
+    fn unhealthy(&self) -> Vec<InstanceId> {
+        let pools = Arc::clone(self.node.tables.directory.lock().pools());
+        let (now, balancer) = (VirtualClock.now(), self.node.tables.balancer.lock());
+        let upstreams = pools.values().flatten().filter(|u| u.instance.starts_with('p'));
+        let is_healthy =
+            |u: &Arc<Upstream>| balancer.loads.has_capacity(now, &[Arc::clone(u)], &[], 0.0);
+        upstreams.filter(|u| !is_healthy(u)).map(|u| u.instance.clone()).collect()
+    }
 }
 
 /// Guards against sound requests that all nodes refuse for ten minutes, because a node that lost its
@@ -99,3 +109,42 @@
         _ => assert!(is_cut, "the request crashed its upstreams"),
     }
 }
+
+/// Failures before the path was found lost don't keep requests away from an instance that peers
+/// reach.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn failures_of_a_lost_path_do_not_count_against_the_instance() {
+    let fixture = open();
+    fixture.upstreams.set_default(ScriptedAction::Fail(SendError::NotSent));
+    for _ in 0..4 {
+        fixture.proxy.serve(look()).await;
+    }
+    let failed = fixture.unhealthy();
+    assert!(!failed.is_empty());
+    fixture.node.hear_sound(NODES);
+    for id in &failed {
+        fixture.network.cut(0, &[id], Fault::Refuse);
+        fixture.node.dial(id).await.unwrap();
+    }
+    assert!(fixture.unhealthy().is_empty());
+}
+
+/// Nor do connections that break while the path is down.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn broken_connections_count_only_where_the_path_is_open(#[values(true, false)] is_cut: bool) {
+    let fixture = open();
+    for at in 0..INSTANCES {
+        if is_cut {
+            fixture.network.cut(0, &[&id(at)], Fault::Refuse);
+        }
+        fixture.node.dial(&id(at)).await.unwrap();
+    }
+    fixture.upstreams.set_default(ScriptedAction::Fail(SendError::ConnectionLost));
+    for _ in 0..60 {
+        fixture.proxy.serve(look()).await;
+        fixture.node.hear_sound(NODES);
+    }
+    assert_eq!(fixture.unhealthy().is_empty(), is_cut);
+}
