Let nodes with lost paths confirm no crash to peers

A node that dials for a peer may be cut off from the instance itself. Its refusal would confirm a crash, so it answers `unreachable` while it has lost a path or is refused by most instances.

--- a/crates/serving/src/paths/apply.rs
+++ b/crates/serving/src/paths/apply.rs
@@ -2,13 +2,24 @@
 
 use {
     super::{DirectPath, IsolationChange},
-    crate::{directory::upstream_key, load::UpstreamOutcome, tables::Tables},
+    crate::{
+        directory::upstream_key, interfaces::TunnelError, load::UpstreamOutcome, tables::Tables,
+    },
     std::time::Instant,
     turmerictack_model::ids::InstanceId,
     turmerictack_telemetry::logs,
 };
 
 impl Tables {
+    /// What to tell a peer for which this node dialled an instance that refused it.
+    pub fn refusal_for_peer(&self, now: Instant) -> TunnelError {
+        if self.paths.lock().is_doubtful_witness(now) {
+            TunnelError::Unreachable
+        } else {
+            TunnelError::Refused
+        }
+    }
+
     /// Forgets the paths to instances that are gone or not used, and logs whether the node is isolated.
     pub(crate) fn expire_paths(&self, now: Instant) {
         let change = {
--- a/crates/serving/src/paths/mod.rs
+++ b/crates/serving/src/paths/mod.rs
@@ -343,6 +343,12 @@
         failing >= MIN_LOST_PATHS && 2 * failing >= known
     }
 
+    /// Whether a refusal by an instance may be the sign of a path that this node has lost itself, so that
+    /// it should not confirm to a peer that the instance has crashed.
+    pub fn is_doubtful_witness(&self, now: Instant) -> bool {
+        self.recent_evidence(now).0 > 0 || self.lacks_paths(now)
+    }
+
     /// Number of paths that are down, and of all paths, with recent evidence.
     fn recent_evidence(&self, now: Instant) -> (usize, usize) {
         let known = self.paths.values().filter(|p| p.has_evidence(now));
--- a/crates/serving/tests/paths.rs
+++ b/crates/serving/tests/paths.rs
@@ -161,6 +161,19 @@
     assert!(!fixture.paths.lacks_paths(fixture.at(3_001)));
 }
 
+/// A node that has lost any path, or is refused by most instances, doesn't confirm crashes to peers.
+#[rstest]
+fn node_with_lost_paths_is_a_doubtful_witness(mut fixture: Fixture) {
+    for at in 1..10 {
+        fixture.open(0, at);
+    }
+    fixture.paths.record_direct_failure(fixture.at(0), &id(0));
+    assert!(!fixture.paths.is_doubtful_witness(fixture.at(1)));
+    fixture.refuse(1, 0);
+    assert!(fixture.paths.is_doubtful_witness(fixture.at(2)));
+    assert!(!fixture.paths.is_doubtful_witness(fixture.at(3_001)));
+}
+
 #[rstest]
 fn responses_count_for_paths_that_are_not_in_doubt(mut fixture: Fixture) {
     fixture.refuse(0, 0);
