--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -10,7 +10,10 @@
     async_trait::async_trait,
     bytes::Bytes,
     displaydoc::Display,
-    std::{io, time::Duration},
+    std::{
+        io,
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncRead, AsyncWrite},
         time::timeout,
@@ -180,6 +183,12 @@
         Ok((self.dial(instance, address).await?, StreamPath::Direct))
     }
 
+    /// Whether an idle connection by this path, which delivered its last response at `proven_at`, may
+    /// carry another request.
+    fn may_reuse(&self, _instance: &InstanceId, _path: StreamPath, _proven_at: Instant) -> bool {
+        true
+    }
+
     /// Whether the address refuses connections, as it does after the process there has crashed or,
     /// in a planned shutdown, has closed its listener.
     async fn refuses_connections(&self, instance: &InstanceId, address: &Address) -> bool {
--- a/crates/serving/src/paths/dialer.rs
+++ b/crates/serving/src/paths/dialer.rs
@@ -275,6 +275,10 @@
         }
     }
 
+    fn may_reuse(&self, instance: &InstanceId, path: StreamPath, proven_at: Instant) -> bool {
+        self.recorder.tables.paths.lock().may_reuse(instance, path, proven_at)
+    }
+
     /// Whether an instance refuses this node and, if any can be asked, peers as well.
     ///
     /// A refusal alone may be the sign of a lost path. If a peer does get through, that counts as
--- a/crates/serving/src/paths/mod.rs
+++ b/crates/serving/src/paths/mod.rs
@@ -16,6 +16,7 @@
 
 use {
     self::isolation::Isolation,
+    crate::interfaces::StreamPath,
     displaydoc::Display,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -179,18 +180,24 @@
 pub struct PathTable {
     paths: BTreeMap<InstanceId, InstancePath>,
     isolation: Isolation,
+    /// Start of the latest dial by which a path was found to be silent.
+    silent_since: Option<Instant>,
 }
 
 impl PathTable {
     /// Says how to dial an instance now.
     pub fn plan_dial(&mut self, now: Instant, instance: &InstanceId) -> DialPlan {
+        let is_isolated = self.is_isolated(now);
+        let silent_since = self.silent_since.filter(|_| is_isolated);
         let path = self.entry(now, instance);
         path.used_at = now;
         if path.crashed_until.is_some_and(|until| now < until) {
             return DialPlan::DirectOnly;
         }
         if !path.is_down() {
-            return DialPlan::DirectFirst;
+            // Most other paths are silent, so a head start would most likely be lost.
+            let is_doubtful = silent_since.is_some() && path.success_at < silent_since;
+            return if is_doubtful { DialPlan::Both } else { DialPlan::DirectFirst };
         }
         if now < path.tried_at + RECHECK_INTERVAL {
             return DialPlan::TunnelFirst;
@@ -199,6 +206,22 @@
         DialPlan::Both
     }
 
+    /// Whether an idle connection, which delivered its last response at `proven_at`, may carry another
+    /// request.
+    ///
+    /// Where one path has gone silent, other open connections may hang as well, while all those may
+    /// live on that were open when new ones began to be refused.
+    pub fn may_reuse(&self, instance: &InstanceId, by: StreamPath, proven_at: Instant) -> bool {
+        let state = self.state(instance);
+        match by {
+            StreamPath::Tunnel => matches!(state, DirectPath::Down { .. }),
+            StreamPath::Direct => {
+                !matches!(state, DirectPath::Down { how: PathLoss::TimedOut, .. })
+                    && self.silent_since.is_none_or(|at| proven_at >= at)
+            }
+        }
+    }
+
     /// Records that a direct connection was opened.
     pub fn record_open(&mut self, now: Instant, instance: &InstanceId) -> Option<PathChange> {
         let path = self.entry(now, instance);
@@ -261,6 +284,9 @@
         }
         path.state = DirectPath::Down { since: now, how: dial.how };
         path.tried_at = now;
+        if dial.how == PathLoss::TimedOut {
+            self.silent_since = self.silent_since.max(Some(dial.began_at));
+        }
         Some(PathChange::Lost(dial.how))
     }
 
