--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -179,8 +179,9 @@
         &self,
         instance: &InstanceId,
         address: &Address,
-    ) -> io::Result<(Box<dyn ByteStream>, StreamPath)> {
-        Ok((self.dial(instance, address).await?, StreamPath::Direct))
+    ) -> io::Result<DialledStream> {
+        let stream = self.dial(instance, address).await?;
+        Ok(DialledStream { stream, path: StreamPath::Direct, peer: None })
     }
 
     /// Whether an idle connection by this path, which delivered its last response at `proven_at`, may
@@ -189,6 +190,11 @@
         true
     }
 
+    /// Whether connections through a peer may be kept for further requests.
+    fn may_keep_through(&self, _peer: &Address) -> bool {
+        true
+    }
+
     /// Whether the address refuses connections, as it does after the process there has crashed or,
     /// in a planned shutdown, has closed its listener.
     async fn refuses_connections(&self, instance: &InstanceId, address: &Address) -> bool {
@@ -197,6 +203,16 @@
     }
 }
 
+/// A new connection to an instance.
+pub struct DialledStream {
+    /// Bytes.
+    pub stream: Box<dyn ByteStream>,
+    /// Path of the connection.
+    pub path: StreamPath,
+    /// Peer through which it goes; `None` if it is direct.
+    pub peer: Option<Address>,
+}
+
 /// Path of a connection to an instance.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum StreamPath {
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -172,6 +172,12 @@
         })
     }
 
+    /// Whether the peer with an address for requests of other nodes has announced its shutdown.
+    pub fn is_leaving(&self, address: &Address) -> bool {
+        let is_meant = |p: &&Peer| p.candidate.as_ref().is_some_and(|c| c.address == *address);
+        self.peers.values().find(is_meant).is_some_and(|p| p.reach.is_leaving)
+    }
+
     /// Live peers that may watch the store for others.
     pub fn relay_candidates(&self, now: Instant) -> Vec<RelayCandidate> {
         let alive = self.peers.values().filter(|p| self.is_alive(now, p));
--- a/crates/serving/src/paths/dialer.rs
+++ b/crates/serving/src/paths/dialer.rs
@@ -7,7 +7,10 @@
         tunnel::{NoTunnel, OpenTunnel, TunnelOpener},
     },
     crate::{
-        interfaces::{ByteStream, Dialer, PathObserver, REFUSAL_TIMEOUT, StreamPath, TunnelDialer},
+        interfaces::{
+            ByteStream, Dialer, DialledStream, PathObserver, REFUSAL_TIMEOUT, StreamPath,
+            TunnelDialer,
+        },
         tables::Tables,
     },
     async_trait::async_trait,
@@ -25,8 +28,6 @@
     },
 };
 
-type Connection = (Box<dyn ByteStream>, StreamPath);
-
 /// What a [`PathDialer`] needs to know of its node.
 pub struct DialContext {
     /// Shared tables.
@@ -115,7 +116,7 @@
         instance: &InstanceId,
         address: &Address,
         head_start: Duration,
-    ) -> io::Result<Connection> {
+    ) -> io::Result<DialledStream> {
         let mut direct = self.dial_directly(instance, address);
         match timeout(head_start, &mut direct.dialling).await {
             Ok(Ok(stream)) => return Ok(use_direct(stream)),
@@ -149,7 +150,7 @@
         address: &Address,
         began_at: Instant,
         error: io::Error,
-    ) -> io::Result<Connection> {
+    ) -> io::Result<DialledStream> {
         if loss_of(&error).is_none() {
             return Err(error);
         }
@@ -162,7 +163,7 @@
         &self,
         instance: &InstanceId,
         address: &Address,
-    ) -> io::Result<Connection> {
+    ) -> io::Result<DialledStream> {
         match self.opener.open(instance, address).await {
             Ok(tunnel) => Ok(self.keep_tunnel(tunnel)),
             Err(failures) => {
@@ -178,7 +179,7 @@
         instance: &InstanceId,
         direct: DirectDial,
         failures: NoTunnel,
-    ) -> io::Result<Connection> {
+    ) -> io::Result<DialledStream> {
         match direct.dialling.await {
             Ok(stream) => Ok(use_direct(stream)),
             Err(error) => self.conclude(instance, direct.began_at, error, Err(failures)),
@@ -192,7 +193,7 @@
         began_at: Instant,
         error: io::Error,
         tunnel: Result<OpenTunnel, NoTunnel>,
-    ) -> io::Result<Connection> {
+    ) -> io::Result<DialledStream> {
         match tunnel {
             Ok(tunnel) => {
                 if let Some(how) = loss_of(&error) {
@@ -216,7 +217,7 @@
         instance: &InstanceId,
         tunnel: OpenTunnel,
         direct: DirectDial,
-    ) -> Connection {
+    ) -> DialledStream {
         let (recorder, instance) = (Arc::clone(&self.recorder), instance.clone());
         let (peer, tunnel_began_at) = (tunnel.peer.clone(), tunnel.began_at);
         let DirectDial { dialling, began_at } = direct;
@@ -235,9 +236,10 @@
         self.keep_tunnel(tunnel)
     }
 
-    fn keep_tunnel(&self, tunnel: OpenTunnel) -> Connection {
+    fn keep_tunnel(&self, tunnel: OpenTunnel) -> DialledStream {
         self.recorder.record_tunnel();
-        (tunnel.stream, StreamPath::Tunnel)
+        let OpenTunnel { stream, peer, .. } = tunnel;
+        DialledStream { stream, path: StreamPath::Tunnel, peer: Some(peer) }
     }
 
     fn record_loss(
@@ -259,10 +261,14 @@
         instance: &InstanceId,
         address: &Address,
     ) -> io::Result<Box<dyn ByteStream>> {
-        Ok(self.dial_path(instance, address).await?.0)
+        Ok(self.dial_path(instance, address).await?.stream)
     }
 
-    async fn dial_path(&self, instance: &InstanceId, address: &Address) -> io::Result<Connection> {
+    async fn dial_path(
+        &self,
+        instance: &InstanceId,
+        address: &Address,
+    ) -> io::Result<DialledStream> {
         let now = self.recorder.clock.now();
         let plan = self.recorder.tables.paths.lock().plan_dial(now, instance);
         match plan {
@@ -279,6 +285,10 @@
         self.recorder.tables.paths.lock().may_reuse(instance, path, proven_at)
     }
 
+    fn may_keep_through(&self, peer: &Address) -> bool {
+        !self.recorder.tables.peers.lock().is_leaving(peer)
+    }
+
     /// Whether an instance refuses this node and, if any can be asked, peers as well.
     ///
     /// A refusal alone may be the sign of a lost path. If a peer does get through, that counts as
@@ -308,8 +318,8 @@
     }
 }
 
-fn use_direct(stream: Box<dyn ByteStream>) -> Connection {
-    (stream, StreamPath::Direct)
+fn use_direct(stream: Box<dyn ByteStream>) -> DialledStream {
+    DialledStream { stream, path: StreamPath::Direct, peer: None }
 }
 
 /// How a direct path may have been lost if it fails with this error; `None` if the error is one of this
--- a/crates/serving/tests/common/path_network.rs
+++ b/crates/serving/tests/common/path_network.rs
@@ -237,7 +237,7 @@
         let (instance, address) = (instance.to_owned(), "127.0.0.1:1".to_owned());
         let dial = self.dialer.dial_path(&instance, &address);
         match timeout(POOL_TIMEOUT, dial).await {
-            Ok(result) => result.map(|(_, path)| path),
+            Ok(result) => result.map(|dialled| dialled.path),
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
