Leave most memory and connections of a peer to its own clients

A node that carried tunnels took 128 KiB of its memory account for each like for a response: clients whose bodies made no progress were told to go for it, the other node waited up to 1.5 s for an answer (its limit is 0.5 s), and tunnels could fill the account and take all connections to workers: 480 tunnels fill what 160 MB allow for large holdings.

All tunnels of a node take at most a quarter of its budget and half of its connections to workers (160 tunnels with 160 MB).

Ruled out: an account of its own for tunnels, since the memory is the same.

--- a/crates/serving/src/client_gate.rs
+++ b/crates/serving/src/client_gate.rs
@@ -127,6 +127,13 @@
         self.room(id)
     }
 
+    /// Takes room of `bytes` bytes for a connection that this node carries for another one; `None` if
+    /// that would make clients of this node go or wait.
+    pub fn open_carried(self: &Arc<Self>, bytes: usize) -> Option<HeldRoom> {
+        let id = self.state.lock().memory.open_carried(self.clock.now(), bytes)?;
+        Some(self.room(id))
+    }
+
     fn room(self: &Arc<Self>, id: HolderId) -> HeldRoom {
         HeldRoom { gate: Arc::clone(self), id }
     }
--- a/crates/serving/src/client_memory/limits.rs
+++ b/crates/serving/src/client_memory/limits.rs
@@ -18,6 +18,9 @@
 /// Connections to upstreams that are possible with any number of sockets.
 const MIN_UPSTREAM_CONNECTIONS: usize = 16;
 
+/// Fraction of the budget that connections may take that are carried for other nodes.
+const CARRIED_FRACTION: usize = 4;
+
 /// Fraction of the budget that the receive buffers of [`LISTEN_BACKLOG`] connections may fill.
 const RECEIVE_FRACTION: usize = 4;
 
@@ -52,6 +55,15 @@
         Some(others.saturating_sub(SYSTEM_SOCKETS).max(MIN_UPSTREAM_CONNECTIONS))
     }
 
+    /// Connections of `bytes` bytes each that may be carried for other nodes, so that most of the
+    /// memory, and half of the connections to upstreams, are left to the clients of this node; one at
+    /// least. `None` is no bound.
+    pub fn carried_connections(&self, bytes: usize) -> Option<usize> {
+        let by_memory = self.memory.map(|_| self.budget() / CARRIED_FRACTION / bytes.max(1));
+        let by_sockets = self.upstream_connections().map(|connections| connections / 2);
+        by_memory.into_iter().chain(by_sockets).min().map(|connections| connections.max(1))
+    }
+
     /// Size for the receive buffers of client connections, in bytes, since what the system has
     /// received for a process counts as its memory; `None` leaves it to the system.
     pub fn receive_buffer(&self) -> Option<usize> {
--- a/crates/serving/src/client_memory/mod.rs
+++ b/crates/serving/src/client_memory/mod.rs
@@ -139,6 +139,17 @@
         self.insert(Holding::new(HoldingKind::Response, now, None))
     }
 
+    /// Starts a connection that this node carries for another one, with `held` bytes; `None` if there
+    /// is no room at once, since no client is to go or wait for it.
+    pub fn open_carried(&mut self, now: Instant, held: usize) -> Option<HolderId> {
+        if self.missing(0, held) > 0 {
+            return None;
+        }
+        let id = self.open_response(now);
+        self.set_held(id, held);
+        Some(id)
+    }
+
     /// Counts a complete response of `bytes` bytes until it is released; it is never refused, but
     /// others find less room meanwhile.
     pub fn hold_response(&mut self, now: Instant, bytes: usize) -> HolderId {
--- a/crates/serving/tests/client_memory.rs
+++ b/crates/serving/tests/client_memory.rs
@@ -23,6 +23,36 @@
     id
 }
 
+/// Guards against clients of a node that are closed, or find no room, for the sake of other nodes.
+#[rstest]
+fn connection_carried_for_another_node_makes_no_client_go() {
+    let (mut memory, start) = (ClientMemory::new(LIMITS), Instant::now());
+    let stalled = open(&mut memory, start, 1, 6 * MIB);
+    let now = start + 2 * SECOND;
+    assert_eq!(memory.open_carried(now, 128 * KIB), None);
+    assert_eq!(memory.used(), 6 * MIB);
+    memory.release(stalled);
+    let carried = memory.open_carried(now, 128 * KIB).unwrap();
+    assert_eq!(memory.used(), 128 * KIB);
+    memory.release(carried);
+    assert_eq!(memory.used(), 0);
+}
+
+/// Guards against other nodes that take all that a node has for its own clients.
+#[rstest]
+#[case::memory(Some(160 * MIB), None, Some(160))]
+#[case::sockets(Some(160 * MIB), Some(1_000), Some(77))]
+#[case::little(Some(MIB / 2), None, Some(1))]
+#[case::no_bound(None, None, None)]
+fn connections_carried_for_other_nodes_leave_most_to_clients(
+    #[case] memory: Option<usize>,
+    #[case] sockets: Option<usize>,
+    #[case] expected: Option<usize>,
+) {
+    let limits = ClientLimits { memory, sockets };
+    assert_eq!(limits.carried_connections(128 * KIB), expected);
+}
+
 #[rstest]
 fn stalled_body_goes_before_slow_and_quick_ones() {
     let (mut memory, start) = (ClientMemory::new(LIMITS), Instant::now());
