Ask silent witnesses of a crash last

A check for a crash asks peers in turn and ends after 100 ms. A peer that accepts tunnels and says nothing used up that time, and the dial was dropped before its failure was recorded, so it was asked first again: refusals by its instances were never taken for crashes while it lived by its heartbeats.

A dial that is given up after 80 ms without an answer now counts as a failure of the peer. Ruled out: more time for the check, which holds back the retry.

The new test in path_dialer.rs failed before (the second check too found no crash), and passes now.

--- a/crates/serving/src/paths/tunnel.rs
+++ b/crates/serving/src/paths/tunnel.rs
@@ -6,7 +6,10 @@
         recorder::PathRecorder,
     },
     crate::interfaces::{ByteStream, TunnelDialer, TunnelError},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     turmerictack_model::ids::{Address, DataCentre, InstanceId},
 };
 
@@ -18,6 +21,10 @@
 /// Some of them may be cut off too, and not know it yet.
 const MAX_WITNESSES: usize = 3;
 
+/// Time without an answer from which a peer counts as silent if the dial is given up, which a check for
+/// a crash is after 100 ms in all.
+const SILENT_AFTER: Duration = Duration::from_millis(80);
+
 /// Tunnel to an instance.
 pub(super) struct OpenTunnel {
     pub(super) stream: Box<dyn ByteStream>,
@@ -54,6 +61,25 @@
     }
 }
 
+/// A peer that is asked for a tunnel; if the dial is given up after a while, it counts as silent.
+struct Asked<'a> {
+    recorder: &'a PathRecorder,
+    instance: &'a InstanceId,
+    peer: &'a Address,
+    began_at: Instant,
+    is_answered: bool,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        let elapsed = self.recorder.clock.now().saturating_duration_since(self.began_at);
+        if !self.is_answered && elapsed >= SILENT_AFTER {
+            let error = TunnelError::PeerUnreachable;
+            self.recorder.record_tunnel_failure(self.instance, self.peer, error);
+        }
+    }
+}
+
 /// Opens tunnels to instances.
 pub(super) struct TunnelOpener {
     pub(super) tunnels: Arc<dyn TunnelDialer>,
@@ -89,7 +115,17 @@
         let mut failures = NoTunnel::default();
         for peer in peers {
             let began_at = self.recorder.clock.now();
-            match self.tunnels.dial_through(&peer, instance, address).await {
+            let mut asked = Asked {
+                recorder: &self.recorder,
+                instance,
+                peer: &peer,
+                began_at,
+                is_answered: false,
+            };
+            let result = self.tunnels.dial_through(&peer, instance, address).await;
+            asked.is_answered = true;
+            drop(asked);
+            match result {
                 Ok(stream) => return Ok(OpenTunnel { stream, peer, began_at }),
                 Err(error) => {
                     self.recorder.record_tunnel_failure(instance, &peer, error);
--- a/crates/serving/tests/path_dialer.rs
+++ b/crates/serving/tests/path_dialer.rs
@@ -301,6 +301,22 @@
     assert!(!node.refuses_connections("p1").await);
 }
 
+/// Guards against a peer that accepts and is silent, and so hides each crash for as long as it is asked
+/// first.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn silent_witness_is_replaced_by_another_one() {
+    let (network, node) = open();
+    network.cut(0, &INSTANCES, Fault::Refuse);
+    node.dial("p0").await.unwrap();
+    let first = *network.asked.lock().unwrap().keys().next().unwrap();
+    let (network, node) = open();
+    network.lose_node(first);
+    network.fail_instance("p0", Fault::Refuse);
+    assert!(!node.refuses_connections("p0").await, "nothing is known yet");
+    assert!(node.refuses_connections("p0").await);
+}
+
 /// Dropping a dial at any time leaves nothing behind.
 #[rstest]
 #[tokio::test(start_paused = true)]
