--- a/crates/serving/src/paths/mod.rs
+++ b/crates/serving/src/paths/mod.rs
@@ -7,6 +7,7 @@
 
 mod apply;
 pub mod dialer;
+mod instance_path;
 mod isolation;
 pub mod peers;
 mod recorder;
@@ -15,7 +16,10 @@
 pub use self::isolation::IsolationChange;
 
 use {
-    self::isolation::Isolation,
+    self::{
+        instance_path::{InstancePath, is_recent},
+        isolation::Isolation,
+    },
     crate::interfaces::StreamPath,
     displaydoc::Display,
     std::{
@@ -54,9 +58,6 @@
 /// Time for which a peer that failed to reach an instance is asked last.
 const PEER_FAILURE_TIME: Duration = Duration::from_secs(1);
 
-/// Maximum age of the evidence on a path that tells whether the node is isolated.
-const EVIDENCE_AGE: Duration = Duration::from_secs(3);
-
 /// Time without a dial or a response after which an instance is forgotten.
 const PATH_RETENTION: Duration = Duration::from_secs(30);
 
@@ -122,59 +123,6 @@
     pub how: PathLoss,
 }
 
-#[derive(Debug)]
-struct InstancePath {
-    state: DirectPath,
-    used_at: Instant,
-    opened_at: Option<Instant>,
-    /// Time of the latest direct connection or response.
-    success_at: Option<Instant>,
-    /// Time of the latest failure of a direct dial, whatever peers reach.
-    failure_at: Option<Instant>,
-    /// Time of the latest failure of a direct dial to which a peer got through.
-    confirmed_at: Option<Instant>,
-    /// Beginning of a direct dial that timed out, as long as no other evidence supports it.
-    suspicion: Option<Instant>,
-    tried_at: Instant,
-    crashed_until: Option<Instant>,
-    failed_peers: BTreeMap<Address, Instant>,
-}
-
-impl InstancePath {
-    fn new(now: Instant) -> Self {
-        Self {
-            state: DirectPath::Unknown,
-            used_at: now,
-            opened_at: None,
-            success_at: None,
-            failure_at: None,
-            confirmed_at: None,
-            suspicion: None,
-            tried_at: now,
-            crashed_until: None,
-            failed_peers: BTreeMap::new(),
-        }
-    }
-
-    fn is_down(&self) -> bool {
-        matches!(self.state, DirectPath::Down { .. })
-    }
-
-    /// Whether it is known from the last seconds that the path is open, or that it is down.
-    fn has_evidence(&self, now: Instant) -> bool {
-        is_recent(now, self.success_at.max(self.confirmed_at))
-    }
-
-    /// Whether the latest direct dial has failed.
-    fn is_failing(&self) -> bool {
-        self.failure_at.is_some() && self.failure_at >= self.success_at
-    }
-}
-
-fn is_recent(now: Instant, at: Option<Instant>) -> bool {
-    at.is_some_and(|at| now < at + EVIDENCE_AGE)
-}
-
 /// Paths to all instances that were dialled lately.
 #[derive(Debug, Default)]
 pub struct PathTable {
