--- a/crates/serving/src/group_controller/mod.rs
+++ b/crates/serving/src/group_controller/mod.rs
@@ -7,7 +7,7 @@
         directory::upstream_key,
         heartbeat::NodeIdentity,
         interfaces::{InstanceControl, OrderResponse, PlanStore},
-        membership::LeaderStatus,
+        membership::{LeaderStatus, NotLeading},
         relay::FactKind,
         tables::Tables,
     },
@@ -121,13 +121,14 @@
         let mut was_leader = false;
         loop {
             ticks.tick().await;
-            let is_leader = self.should_lead(was_leader);
+            let lead = self.check_lead(was_leader);
+            let is_leader = lead.is_ok();
             if is_leader != was_leader {
                 was_leader = is_leader;
                 self.tables.lifecycle.lock().is_leader = is_leader;
                 state.plan.discard();
                 state.planner.reset_progress();
-                logs::event("group_leadership_changed").with("is_leader", is_leader).info();
+                self.log_lead(lead);
             }
             self.apply_reports(&mut state, &mut report_receiver);
             if is_leader {
@@ -136,14 +137,32 @@
         }
     }
 
-    fn should_lead(&self, was_leader: bool) -> bool {
+    fn check_lead(&self, was_leader: bool) -> Result<(), NotLeading> {
         let now = self.clock.now();
         let eligible = self.tables.has_own_fresh_view(now)
             && !self.tables.directory.lock().evacuations().is_unread()
             && !self.tables.lifecycle.lock().draining;
         let defers = self.tables.paths.lock().defers_leadership();
         let own = LeaderStatus { eligible, is_leader: was_leader, defers };
-        self.tables.peers.lock().should_lead(now, &self.identity.address, own)
+        self.tables.peers.lock().check_lead(now, &self.identity.address, own)
+    }
+
+    /// Logs a change of the lead, with what this node knows of the others.
+    fn log_lead(&self, lead: Result<(), NotLeading>) {
+        let peers = self.tables.peers.lock();
+        let mut event = logs::event("group_leadership_changed")
+            .with("is_leader", lead.is_ok())
+            .with("heard", peers.heard_count())
+            .with("registered", peers.registered_count());
+        if let Err(reason) = lead {
+            event = event.with("reason", reason);
+        }
+        if let Some(leader) = peers.known_leader(self.clock.now()) {
+            event = event
+                .with("last_leader", leader.node)
+                .with("last_leader_age_ms", leader.age.as_millis());
+        }
+        event.info();
     }
 
     fn apply_reports(
--- a/crates/serving/src/group_controller/stored_plan.rs
+++ b/crates/serving/src/group_controller/stored_plan.rs
@@ -135,6 +135,13 @@
                 .info();
         }
     }
+    for (id, model) in after.loads.iter().filter(|(id, m)| before.loads.get(*id) != Some(m)) {
+        logs::event("load_planned")
+            .with("instance", id)
+            .with("model", model)
+            .with("plan_version", version)
+            .info();
+    }
     for name in before.groups.keys().filter(|n| !after.groups.contains_key(*n)) {
         logs::event("group_retired").with("group", name).with("plan_version", version).info();
     }
