Lead only after hearing of the others, and time peers out by what they owe

Cause: nodes decided by what they happened to have heard. (1) A node led, or took itself for a relay, 0.5 to 1.5 s after its start, while a round of heartbeats takes 2.45 s at 195 nodes; all nodes sent their rounds in the same order, so the last in it heard nothing for 2.4 s. What a node took back was known a round later, and until then nobody took the lead. (2) Whether a peer counts as dead after 1 s or after three rounds was guessed from its last two heartbeats, so a peer that rightly went back to one heartbeat a round was taken for dead. (3) Frequent heartbeats went only to peers known to be eligible, so two that became eligible at the same time did not know of each other for a round.

Change: a node may lead, and takes its role as a relay, once it has heard of all registered nodes or listened for two rounds; it sends its first round at the rate of small clusters, beginning with the node that follows it. The short time-out applies to a peer only while both have said that they may lead. Nodes that may lead send frequent heartbeats to all relays, say so for 0.3 s before they lead, and 0.5 s after they no longer may. Messages and stored objects are as before.

Ruled out: load and processor time (the test has neither); a lease in the store, which the conditional write of the plan makes needless and a build without it would ignore.

Two tests of heartbeats now set up what they left to a guess: that the node has listened, and may lead.

--- a/crates/serving/src/group_controller/mod.rs
+++ b/crates/serving/src/group_controller/mod.rs
@@ -18,7 +18,7 @@
     },
     tokio::{
         sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-        time::{MissedTickBehavior, interval, sleep},
+        time::{MissedTickBehavior, interval},
     },
     turmerictack_groups::{
         formation::{
@@ -39,9 +39,6 @@
 /// Interval between reconciliations.
 const RECONCILE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time a node listens to heartbeats before it may become leader.
-const STARTUP_DELAY: Duration = Duration::from_millis(500);
-
 /// Interval between probes of one suspected instance.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -115,7 +112,6 @@
             probes: BTreeMap::new(),
             report_sender,
         };
-        sleep(STARTUP_DELAY).await;
         let mut ticks = interval(RECONCILE_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut was_leader = false;
@@ -139,9 +135,7 @@
 
     fn check_lead(&self, was_leader: bool) -> Result<(), NotLeading> {
         let now = self.clock.now();
-        let eligible = self.tables.has_own_fresh_view(now)
-            && !self.tables.directory.lock().evacuations().is_unread()
-            && !self.tables.lifecycle.lock().draining;
+        let eligible = self.tables.may_lead(now);
         let defers = self.tables.paths.lock().defers_leadership();
         let own = LeaderStatus { eligible, is_leader: was_leader, defers };
         self.tables.peers.lock().check_lead(now, &self.identity.address, own)
--- a/crates/serving/src/heartbeat.rs
+++ b/crates/serving/src/heartbeat.rs
@@ -113,10 +113,8 @@
                 };
             }
             let mut addresses = batch.addresses;
-            if self.tables.watches_store() {
-                let leaders = self.tables.peers.lock().next_leader_batch(self.clock.now());
-                addresses.extend(leaders.into_iter().filter(|a| *a != self.identity.address));
-            }
+            let leaders = self.tables.peers.lock().next_leader_batch(self.clock.now());
+            addresses.extend(leaders.into_iter().filter(|a| *a != self.identity.address));
             self.broadcast(&addresses, &updates).await;
             let now = self.clock.now();
             self.tables.expire_reports(now);
@@ -143,7 +141,7 @@
             let paces = loads.paces.to_report(now);
             (loads.local_loads(now), loads.stalls_to_report(now), limits, paces)
         };
-        let has_fresh_view = self.tables.has_own_fresh_view(now);
+        let has_fresh_view = self.tables.update_candidacy(now, &self.identity);
         let (leaving, is_leader) = {
             let lifecycle = self.tables.lifecycle.lock();
             (lifecycle.draining, lifecycle.is_leader)
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod allowance;
 pub mod attempts;
 pub mod body_buffer;
+mod candidacy;
 pub mod client_gate;
 pub mod client_listener;
 pub mod client_memory;
--- a/crates/serving/src/membership/election.rs
+++ b/crates/serving/src/membership/election.rs
@@ -14,9 +14,6 @@
 /// Rendezvous hashing key that ranks nodes for leadership.
 const LEADER_KEY: &str = "groups";
 
-/// Time for which a newly registered node without a heartbeat so far counts as a candidate.
-const STARTUP_GRACE: Duration = Duration::from_millis(1_500);
-
 /// Reason for which a node does not lead.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Error)]
 pub enum NotLeading {
@@ -26,6 +23,8 @@
     Unregistered,
     /// cut_off
     Deferring,
+    /// announcing
+    Announcing,
     /// another_leads
     AnotherLeads,
     /// another_ranks_first
@@ -86,15 +85,10 @@
         if candidates.iter().any(|p| p.status.is_leader) {
             return Err(NotLeading::AnotherLeads);
         }
-        let has_no_heartbeat =
-            |address: &Address| self.peers.values().all(|p| p.address != *address);
-        let starting = self
-            .registered
-            .iter()
-            .filter(|(address, since)| now < **since + STARTUP_GRACE && has_no_heartbeat(address))
-            .map(|(address, _)| address.as_str())
-            .filter(|a| a != address);
-        let others = candidates.iter().map(|p| p.address.as_str()).chain(starting);
+        if self.is_announcing(now) {
+            return Err(NotLeading::Announcing);
+        }
+        let others = candidates.iter().map(|p| p.address.as_str());
         ranks_first(address, others).then_some(()).ok_or(NotLeading::AnotherRanksFirst)
     }
 
--- a/crates/serving/src/membership/mod.rs
+++ b/crates/serving/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Liveness of nodes, and election of the node that leads group control.
 
+mod candidacy;
 mod election;
 mod rounds;
 
@@ -12,6 +13,7 @@
 };
 
 use {
+    self::{candidacy::Candidacy, rounds::leader_round},
     crate::{paths::peers::TunnelPeer, relay::source::RelayCandidate},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -20,9 +22,6 @@
     turmerictack_model::ids::{Address, Incarnation, NodeId},
 };
 
-/// Time between two heartbeats up to which a peer counts as one that sends them frequently.
-const FREQUENT_HEARTBEAT: Duration = Duration::from_millis(500);
-
 /// Minimum time without a heartbeat after which a node counts as dead.
 const MIN_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -38,9 +37,9 @@
     address: Address,
     incarnation: Incarnation,
     last_heartbeat: Instant,
-    /// Time between the last two heartbeats.
-    last_gap: Option<Duration>,
     status: LeaderStatus,
+    /// Time of the first of the latest heartbeats that all say that it may lead.
+    eligible_since: Option<Instant>,
     candidate: Option<RelayCandidate>,
     reach: PeerReach,
 }
@@ -76,6 +75,9 @@
     batches: u32,
     last_addressed: Option<Address>,
     last_leader_addressed: Option<Address>,
+    /// Relays of all data centres, which may lead or soon will.
+    relays: BTreeSet<Address>,
+    candidacy: Candidacy,
 }
 
 impl PeerTable {
@@ -96,8 +98,10 @@
             address: address.clone(),
             incarnation,
             last_heartbeat: now,
-            last_gap: previous.map(|p| now.saturating_duration_since(p.last_heartbeat)),
             status,
+            eligible_since: status
+                .eligible
+                .then(|| previous.and_then(|p| p.eligible_since).unwrap_or(now)),
             candidate: previous.and_then(|p| p.candidate.clone()),
             reach: previous.map(|p| p.reach).unwrap_or_default(),
         };
@@ -156,6 +160,11 @@
         self.silent = silent.map(|(address, _)| address.clone()).collect();
     }
 
+    /// Sets the relays of all data centres.
+    pub fn set_relays(&mut self, relays: BTreeSet<Address>) {
+        self.relays = relays;
+    }
+
     /// Addresses of all known nodes except this one and silent ones.
     pub fn heartbeat_addresses(&self, own: &Address) -> Vec<Address> {
         let registered = self.registered.keys().filter(|address| !self.silent.contains(*address));
@@ -199,12 +208,26 @@
     }
 
     fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
-        let is_frequent = peer.last_gap.is_some_and(|gap| gap <= FREQUENT_HEARTBEAT);
-        let timeout = if is_frequent { MIN_HEARTBEAT_TIMEOUT } else { self.heartbeat_timeout() };
-        now < peer.last_heartbeat + timeout
+        now < peer.last_heartbeat + self.heartbeat_timeout()
+            && self.frequent_since(peer).is_none_or(|since| now < since + self.leader_timeout())
+    }
+
+    /// Time since which further heartbeats of a peer are due, because it may lead and knows that this
+    /// node may; `None` if it sends only one in each round.
+    fn frequent_since(&self, peer: &Peer) -> Option<Instant> {
+        let both_since = self.candidacy.eligible_since()?.max(peer.eligible_since?);
+        self.is_large().then(|| both_since.max(peer.last_heartbeat))
+    }
+
+    /// Time without a heartbeat after which a peer counts as dead that may lead, at a node that may
+    /// lead too.
+    fn leader_timeout(&self) -> Duration {
+        let is_addressed = |p: &&Peer| p.status.eligible || self.relays.contains(&p.address);
+        let addressed = self.peers.values().filter(is_addressed).count();
+        MIN_HEARTBEAT_TIMEOUT.max(leader_round(addressed) * MAX_MISSED_HEARTBEATS)
     }
 
-    /// Time without a heartbeat after which a node counts as dead, unless it sends them frequently.
+    /// Time without a heartbeat after which a node counts as dead that sends one in each round.
     pub fn heartbeat_timeout(&self) -> Duration {
         let round = heartbeat_round(self.expected_count().max(self.peers.len()));
         MIN_HEARTBEAT_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS)
--- a/crates/serving/src/membership/rounds.rs
+++ b/crates/serving/src/membership/rounds.rs
@@ -38,6 +38,12 @@
     HEARTBEAT_INTERVAL * intervals.unwrap_or(u32::MAX)
 }
 
+/// Time in which a node that may lead sends a further heartbeat to each of `peers` that may lead.
+pub(super) fn leader_round(peers: usize) -> Duration {
+    let intervals = u32::try_from(peers.div_ceil(LEADER_HEARTBEATS));
+    HEARTBEAT_INTERVAL * intervals.unwrap_or(u32::MAX)
+}
+
 /// Number of batches of heartbeats with one to a silent address; a node that was cut off from this
 /// one from the beginning gets in touch by them.
 const BATCHES_PER_SILENT_ADDRESS: u32 = 4;
@@ -53,11 +59,21 @@
 
 impl PeerTable {
     /// Next batch of peers to send heartbeats to; successive batches address all peers in turn.
+    ///
+    /// A round begins with the peers that follow this node in the order of addresses, so that nodes
+    /// that start together do not all send to the same peers at the same time.
     pub fn next_heartbeat_batch(&mut self, own: &Address) -> HeartbeatBatch {
         let mut addresses = self.heartbeat_addresses(own);
-        let batch_size = heartbeats_per_interval(addresses.len());
+        let batch_size = if self.has_listened() {
+            heartbeats_per_interval(addresses.len())
+        } else {
+            MAX_HEARTBEATS_PER_INTERVAL
+        };
+        let first = addresses.partition_point(|a| a < own);
+        addresses.rotate_left(first);
+        let position = |a: &Address| (a < own, a.clone());
         let next = match &self.last_addressed {
-            Some(last) => addresses.partition_point(|a| a <= last),
+            Some(last) => addresses.partition_point(|a| position(a) <= position(last)),
             None => 0,
         };
         let starts_round = next == 0 || next >= addresses.len();
@@ -82,14 +98,20 @@
         self.last_silent.clone().filter(|address| address != own)
     }
 
-    /// Peers that may lead, to which a node that may lead too sends further heartbeats, in turn.
+    /// Peers that may lead or are relays, to which a node that may lead too sends further heartbeats, in
+    /// turn.
     ///
-    /// In a large cluster, the death of the leader would otherwise be noticed late.
+    /// In a large cluster, the death of the leader would otherwise be noticed late, and two nodes that
+    /// become eligible at the same time would not know of each other.
     pub fn next_leader_batch(&mut self, now: Instant) -> Vec<Address> {
-        if self.expected_count() <= LARGE_CLUSTER {
+        if !self.is_large() || !self.candidacy.sends_frequently(now) {
             return Vec::new();
         }
-        let may_lead = |p: &&Peer| p.status.eligible && self.is_alive(now, p);
+        let timeout = self.heartbeat_timeout();
+        let may_lead = |p: &&Peer| {
+            (p.status.eligible || self.relays.contains(&p.address))
+                && now < p.last_heartbeat + timeout
+        };
         let mut addresses: Vec<Address> =
             self.peers.values().filter(may_lead).map(|p| p.address.clone()).collect();
         addresses.sort_unstable();
@@ -101,4 +123,9 @@
         self.last_leader_addressed = addresses.last().cloned();
         addresses
     }
+
+    /// Whether nodes hear of each other so seldom that those that may lead send further heartbeats.
+    pub(super) fn is_large(&self) -> bool {
+        self.expected_count() > LARGE_CLUSTER
+    }
 }
--- a/crates/serving/src/relay/source.rs
+++ b/crates/serving/src/relay/source.rs
@@ -3,7 +3,7 @@
 use {
     rand::{Rng, RngExt as _},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
     turmerictack_model::{
@@ -77,14 +77,7 @@
     if candidates.len() < MIN_NODES_FOR_RELAYS {
         return relay(false);
     }
-    let in_data_centre = || candidates.iter().filter(|c| c.data_centre == own_node.data_centre);
-    let mut capacities: Vec<u16> = in_data_centre().map(|c| c.capacity).collect();
-    capacities.sort_unstable_by(|a, b| b.cmp(a));
-    let relay_count = RELAYS_PER_DATA_CENTRE.min(capacities.len());
-    let least = capacities[relay_count - 1];
-    let is_strong = |c: &&RelayCandidate| c.capacity >= least;
-    let strong = in_data_centre().filter(is_strong).map(|c| c.address.as_str());
-    let mut relays = owners(RELAY_KEY, strong, relay_count);
+    let mut relays = data_centre_relays(&own_node.data_centre, candidates);
     if relays.contains(&own.as_str()) {
         return relay(true);
     }
@@ -94,6 +87,31 @@
     RelayRoles { is_relay: false, serves_others: false, relays }
 }
 
+/// Relays of all data centres, as a node sees them that knows of these candidates; none in a cluster in
+/// which all nodes watch the store.
+pub fn all_relays(candidates: &[RelayCandidate]) -> BTreeSet<Address> {
+    if candidates.len() < MIN_NODES_FOR_RELAYS {
+        return BTreeSet::new();
+    }
+    let data_centres: BTreeSet<&DataCentre> = candidates.iter().map(|c| &c.data_centre).collect();
+    let relays = data_centres.into_iter().flat_map(|dc| data_centre_relays(dc, candidates));
+    relays.map(str::to_owned).collect()
+}
+
+/// Relays of a data centre; of the nodes with the most capacity the first by rendezvous hash.
+fn data_centre_relays<'a>(
+    data_centre: &DataCentre,
+    candidates: &'a [RelayCandidate],
+) -> Vec<&'a str> {
+    let in_data_centre = || candidates.iter().filter(|c| c.data_centre == *data_centre);
+    let mut capacities: Vec<u16> = in_data_centre().map(|c| c.capacity).collect();
+    capacities.sort_unstable_by(|a, b| b.cmp(a));
+    let relay_count = RELAYS_PER_DATA_CENTRE.min(capacities.len());
+    let least = relay_count.checked_sub(1).map_or(0, |last| capacities[last]);
+    let strong = in_data_centre().filter(|c| c.capacity >= least).map(|c| c.address.as_str());
+    owners(RELAY_KEY, strong, relay_count)
+}
+
 /// Times that follow from the bounds on how late a change may take effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RelayTimes {
--- a/crates/serving/tests/common/election_cluster.rs
+++ b/crates/serving/tests/common/election_cluster.rs
@@ -32,7 +32,7 @@
         interfaces::{
             InstanceControl, NodeList, OrderResponse, PeerTransport, PlanError, PlanStore,
         },
-        relay::source::assign_roles,
+        relay::FactKind,
         tables::Tables,
     },
 };
@@ -277,20 +277,10 @@
         EngineTimes { stall_timeout: Duration::from_secs(4), drain_time: Duration::from_secs(2) },
     );
     loop {
-        update_roles(&tables, &identity);
+        let now = Instant::now().into_std();
+        tables.assign_relay_roles(now, FactKind::Instances, &identity);
+        tables.lifecycle.lock().instances_synced_at = Some(now);
         let (least, most) = READ_INTERVAL_MS;
         sleep(Duration::from_millis(rng.random_range(least..most))).await;
     }
 }
-
-/// Does what the watcher of the instances does before each read.
-fn update_roles(tables: &Tables, identity: &NodeIdentity) {
-    let now = Instant::now().into_std();
-    let mut candidates = tables.peers.lock().relay_candidates(now);
-    candidates.retain(|c| c.address != identity.address);
-    candidates.push(identity.relay_candidate());
-    let roles = assign_roles(&identity.address, &candidates);
-    let mut lifecycle = tables.lifecycle.lock();
-    lifecycle.follows_relays = !roles.is_relay;
-    lifecycle.instances_synced_at = Some(now);
-}
--- a/crates/serving/tests/heartbeats.rs
+++ b/crates/serving/tests/heartbeats.rs
@@ -153,6 +153,7 @@
             for (at, address) in all.iter().enumerate() {
                 table.record_heartbeat(start, &format!("n{at}"), address, 1, eligible(at));
             }
+            table.set_eligible(start, true);
             table
         })
         .collect();
@@ -181,11 +182,16 @@
     assert_eq!(successors.count(), 1);
 }
 
+/// Time after which a node no longer waits for others to be heard.
+const LISTENING: Duration = Duration::from_secs(6);
+
 #[rstest]
 fn large_cluster_sends_half_of_the_heartbeats() {
     let sent = |nodes| {
-        let mut table = PeerTable::default();
-        table.set_registered(Instant::now(), addresses(nodes));
+        let (mut table, start) = (PeerTable::default(), Instant::now());
+        table.set_registered(start, addresses(nodes));
+        table.update_listening(start, &OWN.to_owned());
+        table.update_listening(start + LISTENING, &OWN.to_owned());
         table.next_heartbeat_batch(&OWN.to_owned()).addresses.len()
     };
     assert_eq!((sent(9), sent(85), sent(195), sent(380)), (8, 8, 4, 4));
