Keep a leader that is no longer a relay

A leader that other nodes of its data centre outrank as relays, for example when they start after it, began to follow them, could not lead without a view of its own, and left groups without control until its peers had heard of it. It now goes on watching the store for as long as it leads, without serving others.

Measured: leader_goes_on_watching_the_store_when_it_is_no_relay failed without the change (the role was lost) and passes with it.

--- a/crates/serving/src/candidacy.rs
+++ b/crates/serving/src/candidacy.rs
@@ -37,7 +37,8 @@
 
     /// Assigns the roles for the objects of a kind from the nodes that are alive.
     ///
-    /// A node watches the store itself until it has heard of the others.
+    /// A node watches the store itself until it has heard of the others, and while it leads: the lead
+    /// does not change hands with the roles.
     pub fn assign_relay_roles(
         &self,
         now: Instant,
@@ -55,7 +56,7 @@
             self.peers.lock().set_relays(all_relays(&candidates));
         }
         let mut lifecycle = self.lifecycle.lock();
-        if !has_listened {
+        if !has_listened || lifecycle.is_leader {
             roles = RelayRoles { is_relay: true, relays: Vec::new(), ..roles };
         }
         let follows_relays = !roles.is_relay;
--- a/crates/serving/tests/leadership.rs
+++ b/crates/serving/tests/leadership.rs
@@ -5,9 +5,18 @@
 mod common;
 
 use {
-    common::election_cluster::{ElectionCluster, Sample},
+    common::{
+        address, addresses,
+        election_cluster::{ElectionCluster, Sample},
+        tables,
+    },
     rstest::rstest,
-    std::time::Duration,
+    std::time::{Duration, Instant},
+    turmerictack_serving::{
+        heartbeat::NodeIdentity,
+        membership::LeaderStatus,
+        relay::{FactKind, source::RelayCandidate},
+    },
 };
 
 /// Time after the start of all nodes within which one of them leads.
@@ -58,3 +67,34 @@
     cluster.run_for(CALM).await;
     assert_eq!(cluster.disputed(since, second.unwrap()), Vec::<&Sample>::new());
 }
+
+/// Guards against a change of the leader whenever a stronger node of its data centre starts.
+#[rstest]
+#[case::leader(true)]
+#[case::follower(false)]
+fn leader_goes_on_watching_the_store_when_it_is_no_relay(#[case] is_leader: bool) {
+    let (tables, now) = (tables(), Instant::now());
+    let identity = NodeIdentity {
+        node: "n0".to_owned(),
+        address: address(0),
+        incarnation: 1,
+        data_centre: "dc-1".to_owned(),
+        capacity: 120,
+    };
+    {
+        let mut peers = tables.peers.lock();
+        peers.set_registered(now, addresses(20));
+        for at in 1..20 {
+            let (node, address) = (format!("n{at}"), address(at));
+            peers.record_heartbeat(now, &node, &address, 1, LeaderStatus::default());
+            let data_centre = "dc-1".to_owned();
+            peers.record_candidate(&node, RelayCandidate { address, data_centre, capacity: 500 });
+        }
+        peers.update_listening(now, &identity.address);
+        assert!(peers.update_listening(now + Duration::from_secs(1), &identity.address));
+    }
+    tables.lifecycle.lock().is_leader = is_leader;
+    let roles = tables.assign_relay_roles(now, FactKind::Instances, &identity);
+    assert_eq!((roles.is_relay, roles.serves_others), (is_leader, false));
+    assert_eq!(tables.watches_store(), is_leader);
+}
