Let the controller listen too

A controller without heartbeats, as in the test of evacuated suspects, never came to the end of listening, so a node that is alone could not lead. The controller now takes part in it before it decides.

Measured: suspects_in_an_evacuated_data_centre_get_neither_probes_nor_orders failed since, and passes.

--- a/crates/serving/src/group_controller/mod.rs
+++ b/crates/serving/src/group_controller/mod.rs
@@ -135,7 +135,7 @@
 
     fn check_lead(&self, was_leader: bool) -> Result<(), NotLeading> {
         let now = self.clock.now();
-        let eligible = self.tables.may_lead(now);
+        let eligible = self.tables.update_candidacy(now, &self.identity);
         let defers = self.tables.paths.lock().defers_leadership();
         let own = LeaderStatus { eligible, is_leader: was_leader, defers };
         self.tables.peers.lock().check_lead(now, &self.identity.address, own)
