--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,9 +4,11 @@
 //! routes, [`config_state`] says how old they may be, [`directory`] defines the upstreams without those
 //! of [`evacuations`], [`load`] and [`queue`] choose an upstream and the time to send, within the
 //! [`allowance`] of the upstream and the [`pace`] of one that has just returned, [`attempts`] decides
-//! on retries, [`paths`] how to reach an upstream whose direct path is lost, and [`client_memory`] on what is held for clients, for which [`client_gate`] keeps the
-//! account. [`proxy::Proxy`] takes a request through them. Front ends and platform adapters implement or call the traits of [`interfaces`]; this crate contains
-//! no message encodings, and no sockets but those of [`client_listener`].
+//! on retries, [`paths`] how to reach an upstream whose direct path is lost, and [`client_memory`] on
+//! what is held for clients, for which [`client_gate`] keeps the account. [`membership`] knows the other
+//! nodes, and elects the one that runs the [`group_controller`]. [`proxy::Proxy`] takes a request through
+//! them. Front ends and platform adapters implement or call the traits of [`interfaces`]; this crate
+//! contains no message encodings, and no sockets but those of [`client_listener`].
 
 pub mod accounted_stream;
 pub mod allowance;
--- a/crates/serving/src/membership/candidacy.rs
+++ b/crates/serving/src/membership/candidacy.rs
@@ -21,7 +21,7 @@
 const MAX_LISTENING: Duration = Duration::from_secs(6);
 
 /// Time for which a node that may no longer lead goes on sending frequent heartbeats, which say so.
-const FAREWELL: Duration = Duration::from_millis(500);
+const WITHDRAWAL: Duration = Duration::from_millis(500);
 
 /// Time for which a node says that it may lead before it leads, in a large cluster; in others, a round
 /// of heartbeats.
@@ -43,7 +43,7 @@
 
     /// Whether the node sends frequent heartbeats to the peers that may lead.
     pub(super) fn sends_frequently(&self, now: Instant) -> bool {
-        self.eligible_since.is_some() || self.ended_at.is_some_and(|at| now < at + FAREWELL)
+        self.eligible_since.is_some() || self.ended_at.is_some_and(|at| now < at + WITHDRAWAL)
     }
 }
 
