Keep the order of heartbeats, and time peers of small clusters out as before

Why loads are spread better when all nodes report in the same order isn't known. The election doesn't need the rule: nodes listen until they have heard all.

Also, where a round takes at most half a second, a peer counts as dead after a second again, as before; that now follows from the size of the cluster. In large clusters a node says for 0.6 s instead of 0.3 s that it may lead, since an answer takes up to four intervals each way.

--- a/crates/serving/src/membership/candidacy.rs
+++ b/crates/serving/src/membership/candidacy.rs
@@ -24,8 +24,8 @@
 const WITHDRAWAL: Duration = Duration::from_millis(500);
 
 /// Time for which a node says that it may lead before it leads, in a large cluster; in others, a round
-/// of heartbeats.
-const ANNOUNCEMENT: Duration = Duration::from_millis(300);
+/// of heartbeats. A leader that did not know of it answers within this time.
+const ANNOUNCEMENT: Duration = Duration::from_millis(600);
 
 /// State of this node as a candidate.
 #[derive(Debug, Default)]
--- a/crates/serving/src/membership/mod.rs
+++ b/crates/serving/src/membership/mod.rs
@@ -28,6 +28,10 @@
 /// Number of heartbeats in a row that must be missing for a node to count as dead.
 const MAX_MISSED_HEARTBEATS: u32 = 3;
 
+/// Round of heartbeats up to which a node counts as dead after [`MIN_HEARTBEAT_TIMEOUT`]: at least two
+/// heartbeats are missing by then.
+const SHORT_ROUND: Duration = Duration::from_millis(500);
+
 /// Time after which a registered address that has sent no heartbeat is no longer taken for a node
 /// that is about to start: another writer may have registered it, thousands of them.
 const SILENT_AFTER: Duration = Duration::from_secs(30);
@@ -208,7 +212,7 @@
     }
 
     fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
-        now < peer.last_heartbeat + self.heartbeat_timeout()
+        now < peer.last_heartbeat + self.liveness_timeout()
             && self.frequent_since(peer).is_none_or(|since| now < since + self.leader_timeout())
     }
 
@@ -228,6 +232,12 @@
     }
 
     /// Time without a heartbeat after which a node counts as dead that sends one in each round.
+    fn liveness_timeout(&self) -> Duration {
+        let is_short = heartbeat_round(self.expected_count()) <= SHORT_ROUND;
+        if is_short { MIN_HEARTBEAT_TIMEOUT } else { self.heartbeat_timeout() }
+    }
+
+    /// Time without a heartbeat after which what a node has reported no longer counts.
     pub fn heartbeat_timeout(&self) -> Duration {
         let round = heartbeat_round(self.expected_count().max(self.peers.len()));
         MIN_HEARTBEAT_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS)
--- a/crates/serving/src/membership/rounds.rs
+++ b/crates/serving/src/membership/rounds.rs
@@ -59,9 +59,6 @@
 
 impl PeerTable {
     /// Next batch of peers to send heartbeats to; successive batches address all peers in turn.
-    ///
-    /// A round begins with the peers that follow this node in the order of addresses, so that nodes
-    /// that start together do not all send to the same peers at the same time.
     pub fn next_heartbeat_batch(&mut self, own: &Address) -> HeartbeatBatch {
         let mut addresses = self.heartbeat_addresses(own);
         let batch_size = if self.has_listened() {
@@ -69,11 +66,8 @@
         } else {
             MAX_HEARTBEATS_PER_INTERVAL
         };
-        let first = addresses.partition_point(|a| a < own);
-        addresses.rotate_left(first);
-        let position = |a: &Address| (a < own, a.clone());
         let next = match &self.last_addressed {
-            Some(last) => addresses.partition_point(|a| position(a) <= position(last)),
+            Some(last) => addresses.partition_point(|a| a <= last),
             None => 0,
         };
         let starts_round = next == 0 || next >= addresses.len();
