--- a/crates/serving/src/membership/mod.rs
+++ b/crates/serving/src/membership/mod.rs
@@ -233,13 +233,17 @@
 
     /// Time without a heartbeat after which a node counts as dead that sends one in each round.
     fn liveness_timeout(&self) -> Duration {
-        let is_short = heartbeat_round(self.expected_count()) <= SHORT_ROUND;
+        let is_short = self.round() <= SHORT_ROUND;
         if is_short { MIN_HEARTBEAT_TIMEOUT } else { self.heartbeat_timeout() }
     }
 
     /// Time without a heartbeat after which what a node has reported no longer counts.
     pub fn heartbeat_timeout(&self) -> Duration {
-        let round = heartbeat_round(self.expected_count().max(self.peers.len()));
-        MIN_HEARTBEAT_TIMEOUT.max(round * MAX_MISSED_HEARTBEATS)
+        MIN_HEARTBEAT_TIMEOUT.max(self.round() * MAX_MISSED_HEARTBEATS)
+    }
+
+    /// Round of heartbeats of the peers, whether or not they are on the list of nodes.
+    fn round(&self) -> Duration {
+        heartbeat_round(self.expected_count().max(self.peers.len()))
     }
 }
