Say in one place which peers get frequent heartbeats

The batch of further heartbeats and the time-out that relies on it asked the same of a peer in two places, which had to agree. Behaviour is as before.

--- a/crates/serving/src/membership/mod.rs
+++ b/crates/serving/src/membership/mod.rs
@@ -223,11 +223,15 @@
         self.is_large().then(|| both_since.max(peer.last_heartbeat))
     }
 
+    /// Whether a peer may lead, or soon will, as a relay.
+    fn is_candidate(&self, peer: &Peer) -> bool {
+        peer.status.eligible || self.relays.contains(&peer.address)
+    }
+
     /// Time without a heartbeat after which a peer counts as dead that may lead, at a node that may
     /// lead too.
     fn leader_timeout(&self) -> Duration {
-        let is_addressed = |p: &&Peer| p.status.eligible || self.relays.contains(&p.address);
-        let addressed = self.peers.values().filter(is_addressed).count();
+        let addressed = self.peers.values().filter(|p| self.is_candidate(p)).count();
         MIN_HEARTBEAT_TIMEOUT.max(leader_round(addressed) * MAX_MISSED_HEARTBEATS)
     }
 
--- a/crates/serving/src/membership/rounds.rs
+++ b/crates/serving/src/membership/rounds.rs
@@ -102,10 +102,7 @@
             return Vec::new();
         }
         let timeout = self.heartbeat_timeout();
-        let may_lead = |p: &&Peer| {
-            (p.status.eligible || self.relays.contains(&p.address))
-                && now < p.last_heartbeat + timeout
-        };
+        let may_lead = |p: &&Peer| self.is_candidate(p) && now < p.last_heartbeat + timeout;
         let mut addresses: Vec<Address> =
             self.peers.values().filter(may_lead).map(|p| p.address.clone()).collect();
         addresses.sort_unstable();
